--- /dev/null
+++ b/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Starts fleets of real processes for the demo, tests and measurements."""
--- /dev/null
+++ b/harness/process.py
@@ -0,0 +1,90 @@
+"""One process of a fleet."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+BINARIES: Final = Path(sys.executable).parent
+
+
+class ProcessFailed(Exception):
+    """A process ended before it was ready."""
+
+
+class FleetProcess:
+    """A process that prints a line once it serves."""
+
+    def __init__(self, name: str, command: Sequence[str], log: Path) -> None:
+        """Describe the process; its log lines go to a file."""
+        self.name = name
+        self._command = command
+        self._log = log
+        self._process: asyncio.subprocess.Process | None = None
+        self.output: list[str] = []
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process is there."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def pid(self) -> int:
+        """Return the identifier that the operating system gave."""
+        assert self._process is not None
+        return self._process.pid
+
+    async def async_start(self) -> None:
+        """Start the process and wait until it serves."""
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *self._command,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+                env=environment,
+            )
+        assert self._process.stdout is not None
+        line = await self._process.stdout.readline()
+        if not line.startswith(b"ready"):
+            await self._process.wait()
+            problem = self._log.read_text(errors="replace")[-2000:]
+            raise ProcessFailed(f"{self.name} did not start:\n{problem}")
+
+    async def async_read_output(self) -> str:
+        """Wait for the end of the process and return what it printed."""
+        assert self._process is not None
+        assert self._process.stdout is not None
+        output = await self._process.stdout.read()
+        await self._process.wait()
+        return output.decode()
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, for example SIGSTOP to pause the process."""
+        if self.is_running:
+            assert self._process is not None
+            self._process.send_signal(number)
+
+    async def async_kill(self) -> None:
+        """Kill the process without a warning."""
+        self.send_signal(signal.SIGKILL)
+        await self._async_wait()
+
+    async def async_stop(self, grace_seconds: float = 10.0) -> int | None:
+        """Ask the process to stop, and kill it if it does not."""
+        self.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(grace_seconds):
+                await self._async_wait()
+        except TimeoutError:
+            await self.async_kill()
+        return self._process.returncode if self._process else None
+
+    async def _async_wait(self) -> None:
+        """Wait for the end of the process."""
+        if self._process is not None:
+            await self._process.wait()
--- /dev/null
+++ b/harness/tests/test_whole_path.py
@@ -0,0 +1,60 @@
+"""The whole path with real processes on loopback."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import attrs
+
+from harness.fleet import Fleet
+from harness.process import ProcessFailed
+from harness.specification import KESAR_TIDEWATER
+from stand_ins.caller import async_connect
+
+_SMALL = attrs.evolve(
+    KESAR_TIDEWATER,
+    balancers=3,
+    services=tuple(
+        attrs.evolve(service, endpoints=2) for service in KESAR_TIDEWATER.services
+    ),
+)
+
+
+class WholePathTest(unittest.IsolatedAsyncioTestCase):
+    """Requests travel through fabric, balancers, companion and back."""
+
+    async def asyncSetUp(self) -> None:
+        """Plan a fleet in a directory of its own."""
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name)
+        self.fleet = Fleet(_SMALL, self.directory)
+        self.addAsyncCleanup(self.fleet.async_stop)
+
+    async def test_flow_survives_the_death_of_balancers(self) -> None:
+        """A board stays open and requests are answered while balancers die."""
+        await self.fleet.async_start()
+        address = self.fleet.service_addresses["stock-ledger"]
+        async with async_connect(address.host, address.port) as caller:
+            board = caller.open("GET", "/board")
+            await board.async_bytes(1)
+            for place in self.fleet.balancers[:2]:
+                await self.fleet.processes[place.name].async_kill()
+            await self.fleet.async_set_members([self.fleet.balancers[2].name])
+            seen = len(board.body)
+            await board.async_bytes(seen + 1)
+            answer = await caller.async_request("POST", "/uploads", b"x" * 200_000)
+            self.assertEqual(answer.status, 200)
+
+    async def test_wrong_settings_are_refused(self) -> None:
+        """A wrong key in the settings stops the process with the remedy."""
+        await self.fleet._async_start_stand_ins()
+        await self.fleet.async_publish()
+        place = self.fleet.balancers[0]
+        self.fleet._add_balancer(place)
+        path = self.directory / f"{place.name}.yaml"
+        path.write_text(path.read_text().replace("fleet_key", "fleet_keys"))
+        process = self.fleet.processes[place.name]
+        with self.assertRaisesRegex(ProcessFailed, "did you mean 'fleet_key'"):
+            await process.async_start()
+        self.assertEqual(await process.async_stop(), 2)
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer program and the operators' command line."""
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -0,0 +1,123 @@
+"""Assembles the balancer from its slices and runs it."""
+
+import asyncio
+import contextlib
+import random
+
+import aiohttp
+
+from pomelotrail_core.clock import Clock, SystemClock
+from pomelotrail_core.configuration import ConfigurationCoordinator, ServiceSource
+from pomelotrail_core.logs import get_logger
+from pomelotrail_core.membership import Roster
+from pomelotrail_core.metrics import Metrics
+from pomelotrail_core.peers import ControlServer
+from pomelotrail_core.peers.status import StatusService
+from pomelotrail_core.process import announce_ready
+from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
+from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline.service import TimelineService
+
+from .forwarding import Forwarder, ServiceSocket
+from .returns import FleetSocket
+from .settings import BalancerSettings, ListenAddress
+
+_LOGGER = get_logger("balancer")
+
+
+class Balancer:
+    """One balancer process."""
+
+    def __init__(self, settings: BalancerSettings, clock: Clock) -> None:
+        """Make the slices; nothing runs yet."""
+        self._settings = settings
+        process = settings.process
+        self._recorder = Recorder(process.name, process.zone, clock)
+        self._metrics = Metrics(process.name, process.zone)
+        self._coordinator = ConfigurationCoordinator(
+            clock, self._recorder, random.Random()
+        )
+        self._roster = Roster()
+        self._encapsulation = Encapsulation(process.fleet_key)
+        self._forwarder = Forwarder(
+            TokenReader(process.token_keys), self._roster, RendezvousRanking()
+        )
+        self._fleet_socket = FleetSocket(
+            self._encapsulation, self._metrics.meter("returns")
+        )
+        self._control = ControlServer(
+            process.control,
+            [
+                TimelineService(self._recorder),
+                StatusService(
+                    process.name,
+                    process.zone,
+                    "balancer",
+                    lambda: self._coordinator.version,
+                    dict,
+                ),
+            ],
+        )
+
+    async def async_run(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set."""
+        process = self._settings.process
+        self._recorder.record(EventKind.PROCESS_STARTED)
+        self._coordinator.add_listener(self._roster.configure)
+        self._coordinator.add_listener(self._forwarder.configure)
+        await self._control.async_start()
+        if process.metrics is not None:
+            await self._metrics.async_start(process.metrics)
+        async with aiohttp.ClientSession() as session:
+            source = ServiceSource(process.configuration_service, session)
+            following = asyncio.create_task(self._coordinator.async_follow(source))
+            await self._coordinator.async_wait_first()
+            await self._async_listen()
+            announce_ready(process.name)
+            await stop.wait()
+            self._recorder.record(EventKind.PROCESS_STOPPING)
+            following.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await following
+        await self._control.async_stop()
+        await self._metrics.async_stop()
+
+    async def _async_listen(self) -> None:
+        """Open the sockets for packets."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self._fleet_socket,
+            local_addr=self._settings.process.packets.socket_address,
+        )
+        for listen in self._settings.listen:
+            await self._async_listen_for_service(listen)
+
+    async def _async_listen_for_service(self, listen: ListenAddress) -> None:
+        """Open the socket of one service."""
+        assert self._coordinator.current is not None
+        service = self._coordinator.current.service(listen.service)
+        if service is None:
+            _LOGGER.error(
+                "Service %r is not in the configuration; not listening at %s",
+                listen.service,
+                listen.address,
+            )
+            return
+        socket = ServiceSocket(
+            service.number,
+            self._settings.process.packets,
+            self._forwarder,
+            self._encapsulation,
+            lambda: self._coordinator.version,
+            self._fleet_socket.send,
+            self._metrics.meter("forwarding"),
+        )
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: socket, local_addr=listen.address.socket_address
+        )
+        self._fleet_socket.add_service(service.number, socket)
+
+
+async def async_run_balancer(settings: BalancerSettings, stop: asyncio.Event) -> None:
+    """Run a balancer on the system's clock until ``stop`` is set."""
+    await Balancer(settings, SystemClock()).async_run(stop)
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/forwarding/const.py
@@ -0,0 +1,5 @@
+"""Constants of the forwarding slice."""
+
+from typing import Final
+
+OWNER_CACHE_ENTRIES: Final = 65_536
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/forwarding/forwarder.py
@@ -0,0 +1,98 @@
+"""Decides where a caller's packet goes."""
+
+from typing import Final
+
+import attrs
+from result import Err, Ok, Result
+
+from pomelotrail_core.configuration import Configuration
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.membership import Roster
+from pomelotrail_core.routing import Ranking, RoutingToken, TokenReader
+from pomelotrail_core.routing.const import MAX_CANDIDATES
+from pomelotrail_core.routing.quic_header import (
+    destination_connection_id,
+    is_long_header,
+)
+
+from .const import OWNER_CACHE_ENTRIES
+from .errors import DropReason
+
+_NO_CANDIDATES: Final[tuple[bytes, ...]] = ()
+
+
+@attrs.frozen
+class Route:
+    """Where a packet goes, and whom the receiver may pass it on to."""
+
+    destination: tuple[str, int]
+    candidates: tuple[bytes, ...]
+
+
+class Forwarder:
+    """Routes by the owner that a packet names, else by ranked candidates.
+
+    A packet that names its owner goes there whatever roster and suspicion
+    say; only an availability zone that is out is an exception.
+    """
+
+    def __init__(self, reader: TokenReader, roster: Roster, ranking: Ranking) -> None:
+        """Route with the given keys, roster and ranking."""
+        self._reader = reader
+        self._roster = roster
+        self._ranking = ranking
+        self._zone_numbers_out: frozenset[int] = frozenset()
+        self._owners: dict[bytes, RoutingToken] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take over the availability zones that are out."""
+        self._zone_numbers_out = configuration.zone_numbers_out
+
+    def route(self, service_number: int, packet: bytes) -> Result[Route, DropReason]:
+        """Return where a packet of a service goes."""
+        connection_id = destination_connection_id(packet)
+        if connection_id is None:
+            return Err(DropReason.MALFORMED)
+        owner = self._owner(connection_id)
+        if owner is not None:
+            return self._route_to_owner(service_number, owner)
+        if not is_long_header(packet):
+            return Err(DropReason.UNKNOWN_OWNER)
+        return self._route_new(service_number, connection_id)
+
+    def _owner(self, connection_id: bytes) -> RoutingToken | None:
+        """Return what the connection ID names, remembering recent ones."""
+        owner = self._owners.get(connection_id)
+        if owner is not None:
+            return owner
+        match self._reader.read(connection_id):
+            case Ok(token):
+                if len(self._owners) >= OWNER_CACHE_ENTRIES:
+                    self._owners.clear()
+                self._owners[connection_id] = token
+                return token
+            case Err(_):
+                return None
+
+    def _route_to_owner(
+        self, service_number: int, owner: RoutingToken
+    ) -> Result[Route, DropReason]:
+        """Return the way to the companion that owns the flow."""
+        if owner.service_number != service_number:
+            return Err(DropReason.OTHER_SERVICE)
+        if owner.zone_number in self._zone_numbers_out:
+            return Err(DropReason.ZONE_OUT)
+        return Ok(Route(owner.companion.socket_address, _NO_CANDIDATES))
+
+    def _route_new(
+        self, service_number: int, connection_id: bytes
+    ) -> Result[Route, DropReason]:
+        """Return the way to the best candidate for a new flow."""
+        ranked = self._ranking.rank(
+            connection_id, self._roster.candidates(service_number), MAX_CANDIDATES
+        )
+        if not ranked:
+            return Err(DropReason.NO_CANDIDATE)
+        first: Endpoint = ranked[0].companion
+        others = tuple(candidate.packed for candidate in ranked[1:])
+        return Ok(Route(first.socket_address, others))
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/forwarding/tests/test_forwarder.py
@@ -0,0 +1,83 @@
+"""Tests of where packets go."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from harness.builders import configuration, routing_token, token_keys
+from pomelotrail_balancer.forwarding import Forwarder
+from pomelotrail_balancer.forwarding.errors import DropReason
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.membership import Roster
+from pomelotrail_core.routing import RendezvousRanking, TokenMint, TokenReader
+
+_SHORT_HEADER = 0x40
+
+
+def _forwarder(**changes: object) -> Forwarder:
+    """Return a forwarder with a configuration in force."""
+    roster = Roster()
+    forwarder = Forwarder(TokenReader(token_keys()), roster, RendezvousRanking())
+    in_force = configuration(**changes)
+    roster.configure(in_force)
+    forwarder.configure(in_force)
+    return forwarder
+
+
+def _short_packet(connection_id: bytes) -> bytes:
+    """Return a packet of an established flow."""
+    return bytes([_SHORT_HEADER]) + connection_id + bytes(40)
+
+
+def _opening_packet(connection_id: bytes) -> bytes:
+    """Return the start of an opening packet."""
+    return b"\xc0\x00\x00\x00\x01" + bytes([len(connection_id)]) + connection_id
+
+
+class ForwarderTest(unittest.TestCase):
+    """Packets go to the owner they name, else to ranked candidates."""
+
+    def test_owner_is_followed_even_if_unknown(self) -> None:
+        """An established flow goes to its owner whatever the roster says."""
+        owner = routing_token(companion=Endpoint("203.0.113.50", 9))
+        packet = _short_packet(TokenMint(token_keys(), owner).mint())
+        route = _forwarder().route(1, packet).unwrap()
+        self.assertEqual(route.destination, ("203.0.113.50", 9))
+        self.assertEqual(route.candidates, ())
+
+    def test_other_service(self) -> None:
+        """A token of one service does not open another."""
+        packet = _short_packet(TokenMint(token_keys(), routing_token()).mint())
+        error = _forwarder().route(2, packet).unwrap_err()
+        self.assertIs(error, DropReason.OTHER_SERVICE)
+
+    def test_zone_out(self) -> None:
+        """Packets for an availability zone that is out are dropped."""
+        packet = _short_packet(TokenMint(token_keys(), routing_token()).mint())
+        forwarder = _forwarder(zones_out=frozenset({"veraval"}))
+        self.assertIs(forwarder.route(1, packet).unwrap_err(), DropReason.ZONE_OUT)
+
+    def test_new_flow_never_goes_to_a_zone_that_is_out(self) -> None:
+        """Candidates are in the other zones."""
+        forwarder = _forwarder(zones_out=frozenset({"veraval"}))
+        out = {
+            each.packets.socket_address
+            for each in configuration().services[0].backend_servers
+            if each.zone == "veraval"
+        }
+        for number in range(200):
+            packet = _opening_packet(number.to_bytes(8, "big"))
+            self.assertNotIn(forwarder.route(1, packet).unwrap().destination, out)
+
+    @given(st.binary(max_size=60))
+    def test_random_packets_never_raise(self, packet: bytes) -> None:
+        """Random bytes are routed as openings of this service or dropped."""
+        result = _forwarder().route(1, packet)
+        if result.is_err():
+            self.assertIsInstance(result.unwrap_err(), DropReason)
+
+    def test_all_balancers_rank_alike(self) -> None:
+        """Two balancers send the packets of one opening the same way."""
+        packet = _opening_packet(b"12345678")
+        self.assertEqual(_forwarder().route(1, packet), _forwarder().route(1, packet))
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/returns/__init__.py
@@ -0,0 +1,5 @@
+"""Returns companions' answers to callers."""
+
+from .fleet_socket import FleetSocket
+
+__all__ = ["FleetSocket"]
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/returns/fleet_socket.py
@@ -0,0 +1,52 @@
+"""The socket between this balancer and the companions."""
+
+import asyncio
+
+from opentelemetry.metrics import Meter
+from result import Err, Ok
+
+from pomelotrail_balancer.forwarding import ServiceSocket
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.routing import Encapsulation, ReturnedPacket
+
+
+class FleetSocket(asyncio.DatagramProtocol):
+    """Sends wrapped packets to companions and unwraps their answers."""
+
+    def __init__(self, encapsulation: Encapsulation, meter: Meter) -> None:
+        """Accept answers that the fleet key authenticates."""
+        self._encapsulation = encapsulation
+        self._transport: asyncio.DatagramTransport | None = None
+        self._services: dict[int, ServiceSocket] = {}
+        self._returned = meter.create_counter("returned_packets")
+        self._rejected = meter.create_counter("rejected_packets")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def add_service(self, service_number: int, service: ServiceSocket) -> None:
+        """Return the answers of a service through its socket."""
+        self._services[service_number] = service
+
+    def send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Send a wrapped packet to a companion."""
+        if self._transport is not None:
+            self._transport.sendto(datagram, address)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Check an answer and send it to its caller."""
+        match self._encapsulation.decode_returned(data):
+            case Err(error):
+                self._rejected.add(1, {"reason": error.name.lower()})
+            case Ok(packet):
+                self._return(packet)
+
+    def _return(self, packet: ReturnedPacket) -> None:
+        """Send one answer from the address of its service."""
+        service = self._services.get(packet.service_number)
+        if service is None:
+            self._rejected.add(1, {"reason": "service"})
+            return
+        service.send_to_caller(packet.payload, Endpoint.unpack(packet.caller))
+        self._returned.add(1)
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/__init__.py
@@ -0,0 +1,1 @@
+"""The process of pomelotrail beside each backend server."""
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/caller_edge.py
@@ -0,0 +1,39 @@
+"""The caller edge as an interface, so that decisions know no wire protocol."""
+
+import abc
+import enum
+
+from pomelotrail_core.routing import ForwardedPacket
+
+
+class PacketVerdict(enum.Enum):
+    """What the edge makes of a packet."""
+
+    TAKEN = "taken"
+    OPENING = "opening"
+    UNKNOWN = "unknown"
+
+
+class CallerEdge(abc.ABC):
+    """Terminates the flows of callers."""
+
+    @property
+    @abc.abstractmethod
+    def flow_count(self) -> int:
+        """Return the number of open flows."""
+
+    @abc.abstractmethod
+    def offer(self, packet: ForwardedPacket) -> PacketVerdict:
+        """Handle a packet of a known flow; say what it is otherwise."""
+
+    @abc.abstractmethod
+    def open_flow(self, packet: ForwardedPacket) -> None:
+        """Open a new flow with an opening packet."""
+
+    @abc.abstractmethod
+    def announce_leaving(self) -> None:
+        """Tell callers to open their next flow elsewhere."""
+
+    @abc.abstractmethod
+    def close_all(self) -> None:
+        """Close every flow."""
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/const.py
@@ -0,0 +1,14 @@
+"""Constants of the caller edge."""
+
+from datetime import timedelta
+from typing import Final
+
+MAX_HOPS: Final = 4
+MIN_OPENING_BYTES: Final = 1200
+IDLE_TIMEOUT: Final = timedelta(minutes=3)
+SEND_HIGH_WATER_BYTES: Final = 262_144
+SEND_POLL: Final = timedelta(milliseconds=5)
+ALPN_HTTP3: Final = ("h3",)
+ISSUED_CONNECTION_IDS: Final = 8
+STATELESS_RESET_BYTES: Final = 16
+RETURN_PATH_TRUST: Final = timedelta(milliseconds=250)
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
@@ -0,0 +1,156 @@
+"""The caller edge for HTTP/3 over QUIC (RFC 9000, RFC 9114)."""
+
+from typing import Any
+
+from aioquic.buffer import Buffer
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.packet import (
+    QuicPacketType,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+
+from pomelotrail_companion.requests import RequestHandler
+from pomelotrail_core.clock import Clock
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.routing import ForwardedPacket, TokenMint
+from pomelotrail_core.routing.const import TOKEN_BYTES
+from pomelotrail_core.routing.quic_header import destination_connection_id
+from pomelotrail_core.timeline import EventKind, Recorder
+
+from .caller_edge import CallerEdge, PacketVerdict
+from .const import ALPN_HTTP3, IDLE_TIMEOUT, MIN_OPENING_BYTES
+from .flow import Flow
+from .return_path import LiveBalancers, ReturnPath, SendToCaller
+from .routable_connection import RoutableQuicConnection
+
+
+def quic_configuration(certificate: str, private_key: str) -> QuicConfiguration:
+    """Return the QUIC settings of a companion with the given PEM files."""
+    configuration = QuicConfiguration(
+        is_client=False,
+        alpn_protocols=list(ALPN_HTTP3),
+        connection_id_length=TOKEN_BYTES,
+        idle_timeout=IDLE_TIMEOUT.total_seconds(),
+    )
+    configuration.load_cert_chain(certificate, private_key)
+    return configuration
+
+
+class QuicEdge(CallerEdge):
+    """Terminates QUIC flows whose packets arrive through any balancer."""
+
+    def __init__(
+        self,
+        configuration: QuicConfiguration,
+        mint: TokenMint,
+        handler: RequestHandler,
+        send: SendToCaller,
+        live_balancers: LiveBalancers,
+        clock: Clock,
+        recorder: Recorder,
+    ) -> None:
+        """Serve requests with ``handler`` and send packets with ``send``."""
+        self._configuration = configuration
+        self._mint = mint
+        self._handler = handler
+        self._send = send
+        self._live_balancers = live_balancers
+        self._clock = clock
+        self._recorder = recorder
+        self._by_connection_id: dict[bytes, Flow] = {}
+        self._connection_ids: dict[Flow, set[bytes]] = {}
+        self._paths: dict[Flow, ReturnPath] = {}
+
+    @property
+    def flow_count(self) -> int:
+        """Return the number of open flows."""
+        return len(self._connection_ids)
+
+    def offer(self, packet: ForwardedPacket) -> PacketVerdict:
+        """Give the packet to its flow, or say what it is."""
+        connection_id = destination_connection_id(packet.payload)
+        flow = self._by_connection_id.get(connection_id or b"")
+        if flow is None:
+            return self._verdict(packet)
+        self._receive(flow, packet)
+        return PacketVerdict.TAKEN
+
+    def open_flow(self, packet: ForwardedPacket) -> None:
+        """Open a flow with an Initial packet."""
+        connection_id = destination_connection_id(packet.payload)
+        assert connection_id is not None
+        connection = RoutableQuicConnection(
+            mint=self._mint,
+            configuration=self._configuration,
+            original_destination_connection_id=connection_id,
+        )
+        flow = Flow(
+            connection, connection_id.hex(), self._handler, self._clock, self._end
+        )
+        path = ReturnPath(self._send, self._live_balancers, self._clock)
+        flow.connection_made(path)
+        self._paths[flow] = path
+        self._connection_ids[flow] = set()
+        self._register(connection_id, flow)
+        self._register(connection.host_cid, flow)
+        flow._connection_id_issued_handler = lambda cid: self._register(cid, flow)
+        flow._connection_id_retired_handler = lambda cid: self._retire(cid, flow)
+        self._recorder.record(EventKind.FLOW_OPENED, flow=flow.name)
+        self._receive(flow, packet)
+
+    def announce_leaving(self) -> None:
+        """Tell callers to open their next flow elsewhere."""
+
+    def close_all(self) -> None:
+        """Close every flow."""
+        for flow in list(self._connection_ids):
+            flow.close()
+
+    def _verdict(self, packet: ForwardedPacket) -> PacketVerdict:
+        """Tell an opening packet from one that nobody here knows."""
+        try:
+            header = pull_quic_header(
+                Buffer(data=packet.payload), host_cid_length=TOKEN_BYTES
+            )
+        except ValueError:
+            return PacketVerdict.UNKNOWN
+        if header.version not in (None, 0, *self._configuration.supported_versions):
+            self._negotiate_version(header, packet)
+            return PacketVerdict.TAKEN
+        is_whole = len(packet.payload) >= MIN_OPENING_BYTES
+        if header.packet_type == QuicPacketType.INITIAL and is_whole:
+            return PacketVerdict.OPENING
+        return PacketVerdict.UNKNOWN
+
+    def _negotiate_version(self, header: Any, packet: ForwardedPacket) -> None:
+        """Tell the caller which versions of QUIC are served."""
+        payload = encode_quic_version_negotiation(
+            source_cid=header.destination_cid,
+            destination_cid=header.source_cid,
+            supported_versions=self._configuration.supported_versions,
+        )
+        self._send(payload, packet.caller, packet.balancer)
+
+    def _receive(self, flow: Flow, packet: ForwardedPacket) -> None:
+        """Let a flow handle one packet and answer on the way it came."""
+        self._paths[flow].use(packet.balancer)
+        caller = Endpoint.unpack(packet.caller).socket_address
+        flow.datagram_received(packet.payload, caller)
+
+    def _register(self, connection_id: bytes, flow: Flow) -> None:
+        """Give packets with this connection ID to a flow."""
+        self._by_connection_id[connection_id] = flow
+        self._connection_ids[flow].add(connection_id)
+
+    def _retire(self, connection_id: bytes, flow: Flow) -> None:
+        """Forget a connection ID that the caller retired."""
+        self._by_connection_id.pop(connection_id, None)
+        self._connection_ids[flow].discard(connection_id)
+
+    def _end(self, flow: Flow) -> None:
+        """Forget a flow that has ended."""
+        for connection_id in self._connection_ids.pop(flow, ()):
+            self._by_connection_id.pop(connection_id, None)
+        self._paths.pop(flow, None)
+        self._recorder.record(EventKind.FLOW_CLOSED, flow=flow.name)
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_routable_connection.py
@@ -0,0 +1,76 @@
+"""Tests of the seam between ``aioquic`` and the routing tokens."""
+
+import ssl
+import tempfile
+import unittest
+from pathlib import Path
+
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+
+from harness.builders import routing_token, token_keys
+from harness.certificates import write_certificate
+from pomelotrail_companion.edge.quic_edge import quic_configuration
+from pomelotrail_companion.edge.routable_connection import RoutableQuicConnection
+from pomelotrail_core.routing import TokenMint, TokenReader
+from pomelotrail_core.routing.quic_header import destination_connection_id
+
+_CALLER = ("198.51.100.4", 5000)
+_SERVICE = ("192.0.2.80", 443)
+
+
+class RoutableConnectionTest(unittest.TestCase):
+    """Every ID that a caller ever uses is a token of the companion."""
+
+    def setUp(self) -> None:
+        """Connect a plain client to a routable server in memory."""
+        with tempfile.TemporaryDirectory() as directory:
+            certificate, key = write_certificate(Path(directory))
+            server_configuration = quic_configuration(str(certificate), str(key))
+        self.client = QuicConnection(
+            configuration=QuicConfiguration(
+                is_client=True, alpn_protocols=["h3"], verify_mode=ssl.CERT_NONE
+            )
+        )
+        self.now = 0.0
+        self.client.connect(_SERVICE, now=self.now)
+        self.server = RoutableQuicConnection(
+            mint=TokenMint(token_keys(), routing_token()),
+            configuration=server_configuration,
+            original_destination_connection_id=(
+                self.client.original_destination_connection_id
+            ),
+        )
+        self.sent_by_client: list[bytes] = []
+
+    def exchange(self) -> None:
+        """Carry packets both ways until both sides are silent."""
+        for _ in range(10):
+            self.now += 0.01
+            for data, _ in self.client.datagrams_to_send(self.now):
+                self.sent_by_client.append(data)
+                self.server.receive_datagram(data, _CALLER, self.now)
+            for data, _ in self.server.datagrams_to_send(self.now):
+                self.client.receive_datagram(data, _SERVICE, self.now)
+
+    def owner_of_last_packet(self) -> object:
+        """Return what the last packet of the client names as its owner."""
+        connection_id = destination_connection_id(self.sent_by_client[-1])
+        return TokenReader(token_keys()).read(connection_id).unwrap()
+
+    def test_handshake_ids_name_the_companion(self) -> None:
+        """After the handshake the client's packets name the companion."""
+        self.exchange()
+        self.assertTrue(self.client._handshake_complete)
+        self.client.send_ping(1)
+        self.exchange()
+        self.assertEqual(self.owner_of_last_packet(), routing_token())
+
+    def test_changed_ids_name_the_companion(self) -> None:
+        """Every ID issued later names the companion too."""
+        self.exchange()
+        for number in range(20):
+            self.client.change_connection_id()
+            self.client.send_ping(number)
+            self.exchange()
+            self.assertEqual(self.owner_of_last_packet(), routing_token())
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Runs requests that must run once at most once."""
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/__init__.py
@@ -0,0 +1,17 @@
+"""Requests, answers and refusals, and who handles them."""
+
+from .dispatcher import Dispatcher
+from .handler import RequestHandler
+from .messages import Answer, Header, Request
+from .refusals import Outcome, Refusal, refuse
+
+__all__ = [
+    "Answer",
+    "Dispatcher",
+    "Header",
+    "Outcome",
+    "Refusal",
+    "Request",
+    "RequestHandler",
+    "refuse",
+]
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/messages.py
@@ -0,0 +1,63 @@
+"""Requests of callers and their answers, free of any wire protocol."""
+
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import attrs
+
+from pomelotrail_core.configuration import RequestClass
+
+
+@attrs.frozen
+class Header:
+    """One header field; names are in lower case."""
+
+    name: str
+    value: str
+
+
+@attrs.frozen
+class Request:
+    """A request of a caller.
+
+    ``deadline`` is the monotonic time by which the caller wants the answer;
+    ``request_class`` is set once the dispatcher knows it. ``body`` yields the
+    body in pieces and can be read once.
+    """
+
+    identifier: str
+    flow: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: AsyncIterator[bytes]
+    deadline: timedelta | None = None
+    request_class: RequestClass | None = None
+
+    def header(self, name: str) -> str | None:
+        """Return the value of the first header of that name, or None."""
+        return _first(self.headers, name)
+
+
+@attrs.frozen
+class Answer:
+    """The answer to a request; ``body`` yields its pieces and can be read once."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: AsyncIterator[bytes]
+
+    def header(self, name: str) -> str | None:
+        """Return the value of the first header of that name, or None."""
+        return _first(self.headers, name)
+
+
+def _first(headers: tuple[Header, ...], name: str) -> str | None:
+    """Return the value of the first header of that name."""
+    return next((header.value for header in headers if header.name == name), None)
+
+
+async def async_pieces(*pieces: bytes) -> AsyncIterator[bytes]:
+    """Yield the given pieces as a body."""
+    for piece in pieces:
+        yield piece
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/__init__.py
@@ -0,0 +1,1 @@
+"""Slices shared by the balancer and the companion."""
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
@@ -0,0 +1,114 @@
+"""The one owner of the configuration in force."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from pomelotrail_core.clock import Clock
+from pomelotrail_core.logs import get_logger
+from pomelotrail_core.timeline import EventKind, Recorder
+
+from .const import SERVICE_RETRY_MAX, SERVICE_RETRY_MIN
+from .document import Configuration
+from .parser import parse_configuration
+from .source import ConfigurationSource, Document
+
+_LOGGER = get_logger("configuration")
+
+Listener = Callable[[Configuration], None]
+
+
+class ConfigurationCoordinator:
+    """Adopts ever higher versions and tells its listeners.
+
+    A version is adopted only when it is higher than the one in force, so what
+    is in force never reverts, whatever a source serves.
+    """
+
+    def __init__(self, clock: Clock, recorder: Recorder, rng: random.Random) -> None:
+        """Start with no configuration in force."""
+        self._clock = clock
+        self._recorder = recorder
+        self._rng = rng
+        self._current: Configuration | None = None
+        self._text = ""
+        self._listeners: list[Listener] = []
+        self._first = asyncio.Event()
+
+    @property
+    def current(self) -> Configuration | None:
+        """Return the configuration in force, or None before the first."""
+        return self._current
+
+    @property
+    def document(self) -> Document | None:
+        """Return the document in force as it was published."""
+        if self._current is None:
+            return None
+        return Document(self._current.version, self._text)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 before the first."""
+        return self._current.version if self._current else 0
+
+    def add_listener(self, listener: Listener) -> None:
+        """Call ``listener`` with each version, the one in force included."""
+        self._listeners.append(listener)
+        if self._current is not None:
+            listener(self._current)
+
+    async def async_wait_first(self) -> Configuration:
+        """Wait until a configuration is in force."""
+        await self._first.wait()
+        assert self._current is not None
+        return self._current
+
+    def offer(self, document: Document, source: str) -> bool:
+        """Check a document and adopt it if its version is higher."""
+        if document.version <= self.version:
+            return False
+        match parse_configuration(document.text, source):
+            case Err(error):
+                _LOGGER.warning("%s", error)
+                self._recorder.record(
+                    EventKind.CONFIGURATION_REFUSED, detail=str(error)
+                )
+                return False
+            case Ok(configuration):
+                return self._adopt(configuration, document.text, source)
+
+    def _adopt(self, configuration: Configuration, text: str, source: str) -> bool:
+        """Put a checked configuration in force."""
+        if configuration.version <= self.version:
+            return False
+        self._current = configuration
+        self._text = text
+        self._recorder.record(
+            EventKind.CONFIGURATION_IN_FORCE,
+            detail=f"version {configuration.version} from {source}",
+        )
+        _LOGGER.info("Version %d is in force", configuration.version)
+        for listener in self._listeners:
+            listener(configuration)
+        self._first.set()
+        return True
+
+    async def async_follow(self, source: ConfigurationSource) -> None:
+        """Ask one source for ever newer versions; runs until cancelled."""
+        delay = SERVICE_RETRY_MIN
+        while True:
+            match await source.async_next(self.version):
+                case Ok(None):
+                    delay = SERVICE_RETRY_MIN
+                    continue
+                case Ok(document):
+                    if self.offer(document, source.name):
+                        delay = SERVICE_RETRY_MIN
+                        continue
+                case Err(error):
+                    _LOGGER.warning("%s", error)
+            await self._clock.async_sleep(delay * self._rng.uniform(0.5, 1.5))
+            delay = min(2 * delay, SERVICE_RETRY_MAX)
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/endpoint.py
@@ -0,0 +1,66 @@
+"""An IPv4 address with a port."""
+
+import ipaddress
+import struct
+from typing import Final, Self
+
+import attrs
+from result import Err, Ok, Result
+
+_PACKED: Final = struct.Struct("!4sH")
+
+PACKED_ENDPOINT_BYTES: Final = _PACKED.size
+MAX_PORT: Final = 65_535
+
+
+@attrs.frozen
+class EndpointError:
+    """A text that is not an endpoint."""
+
+    text: str
+
+    def __str__(self) -> str:
+        """Name the text and what is allowed."""
+        return (
+            f"{self.text!r} is not an endpoint; "
+            "write an IPv4 address and a port from 1 to 65535, as 192.0.2.7:4433"
+        )
+
+
+@attrs.frozen(order=True)
+class Endpoint:
+    """An address of a process, for example ``Endpoint("192.0.2.7", 4433)``."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Result[Self, EndpointError]:
+        """Read ``host:port``; an error names what is allowed."""
+        host, _, port = str(text).rpartition(":")
+        if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+            return Err(EndpointError(str(text)))
+        try:
+            ipaddress.IPv4Address(host)
+        except ValueError:
+            return Err(EndpointError(str(text)))
+        return Ok(cls(host, int(port)))
+
+    @classmethod
+    def unpack(cls, data: bytes) -> Self:
+        """Read the six bytes that ``pack`` wrote."""
+        packed_host, port = _PACKED.unpack(data)
+        return cls(str(ipaddress.IPv4Address(packed_host)), port)
+
+    @property
+    def socket_address(self) -> tuple[str, int]:
+        """Return the form that the socket functions take."""
+        return (self.host, self.port)
+
+    def pack(self) -> bytes:
+        """Return the endpoint as six bytes in network order."""
+        return _PACKED.pack(ipaddress.IPv4Address(self.host).packed, self.port)
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/peers/channel.py
@@ -0,0 +1,10 @@
+"""Client side of control connections."""
+
+from grpclib.client import Channel
+
+from pomelotrail_core.endpoint import Endpoint
+
+
+def open_channel(endpoint: Endpoint) -> Channel:
+    """Return a channel to the control address of another process."""
+    return Channel(endpoint.host, endpoint.port)
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/peers/server.py
@@ -0,0 +1,26 @@
+"""Server side of control connections."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from grpclib.server import Server
+
+from pomelotrail_core.endpoint import Endpoint
+
+
+class ControlServer:
+    """Serves the grpclib services of every slice at one control address."""
+
+    def __init__(self, endpoint: Endpoint, handlers: Sequence[Any]) -> None:
+        """Serve the handlers at the endpoint."""
+        self._endpoint = endpoint
+        self._server = Server(handlers)
+
+    async def async_start(self) -> None:
+        """Start to listen."""
+        await self._server.start(self._endpoint.host, self._endpoint.port)
+
+    async def async_stop(self) -> None:
+        """Stop listening and wait until calls have ended."""
+        self._server.close()
+        await self._server.wait_closed()
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/__init__.py
@@ -0,0 +1,18 @@
+"""Which companion a packet belongs to: tokens, ranking and encapsulation."""
+
+from .encapsulation import Encapsulation, ForwardedPacket, ReturnedPacket
+from .ranking import Candidate, Ranking, RendezvousRanking
+from .token import RoutingToken, TokenKeys, TokenMint, TokenReader
+
+__all__ = [
+    "Candidate",
+    "Encapsulation",
+    "ForwardedPacket",
+    "Ranking",
+    "RendezvousRanking",
+    "ReturnedPacket",
+    "RoutingToken",
+    "TokenKeys",
+    "TokenMint",
+    "TokenReader",
+]
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/const.py
@@ -0,0 +1,10 @@
+"""Constants of the routing slice."""
+
+from typing import Final
+
+TOKEN_BYTES: Final = 20
+TOKEN_KEY_BYTES: Final = 16
+FLEET_KEY_BYTES: Final = 32
+MAX_KEY_GENERATION: Final = 3
+MAX_CANDIDATES: Final = 4
+MAC_BYTES: Final = 8
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/quic_header.py
@@ -0,0 +1,37 @@
+"""The version-independent part of QUIC headers (RFC 8999)."""
+
+from typing import Final
+
+from .const import TOKEN_BYTES
+
+_LONG_HEADER: Final = 0x80
+_LENGTH_AT: Final = 5
+_LONG_ID_AT: Final = 6
+_SHORT_ID_AT: Final = 1
+
+
+def is_long_header(packet: bytes) -> bool:
+    """Tell whether a packet has a long header, as opening packets do."""
+    return bool(packet) and bool(packet[0] & _LONG_HEADER)
+
+
+def destination_connection_id(packet: bytes) -> bytes | None:
+    """Return the destination connection ID, or None in a truncated packet.
+
+    Short headers carry no length, so their ID is taken to be a token.
+    """
+    if is_long_header(packet):
+        return _long_header_id(packet)
+    if len(packet) < _SHORT_ID_AT + TOKEN_BYTES:
+        return None
+    return packet[_SHORT_ID_AT : _SHORT_ID_AT + TOKEN_BYTES]
+
+
+def _long_header_id(packet: bytes) -> bytes | None:
+    """Return the destination connection ID of a long header."""
+    if len(packet) <= _LENGTH_AT:
+        return None
+    end = _LONG_ID_AT + packet[_LENGTH_AT]
+    if len(packet) < end:
+        return None
+    return packet[_LONG_ID_AT:end]
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/ranking.py
@@ -0,0 +1,63 @@
+"""Orders the companions of a service for a flow that has no owner yet."""
+
+import abc
+import math
+from collections.abc import Sequence
+from typing import Final
+
+import attrs
+import xxhash
+
+from pomelotrail_core.endpoint import Endpoint
+
+_HASH_RANGE: Final = float(2**64)
+
+
+@attrs.frozen
+class Candidate:
+    """A companion that may take a new flow, with its share of new flows."""
+
+    companion: Endpoint
+    weight: float = 1.0
+    packed: bytes = attrs.field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Pack the address once, since every ranking hashes it."""
+        object.__setattr__(self, "packed", self.companion.pack())
+
+
+class Ranking(abc.ABC):
+    """Chooses the order in which candidates are offered a new flow."""
+
+    @abc.abstractmethod
+    def rank(
+        self, key: bytes, candidates: Sequence[Candidate], count: int
+    ) -> list[Candidate]:
+        """Return the best ``count`` candidates for a key, best first."""
+
+
+class RendezvousRanking(Ranking):
+    """Weighted rendezvous hashing.
+
+    Each candidate gets the score ``-weight / ln(u)`` with ``u`` the hash of
+    key and candidate as a fraction, so that a candidate that joins or leaves
+    moves only the keys that it wins or loses.
+    """
+
+    def rank(
+        self, key: bytes, candidates: Sequence[Candidate], count: int
+    ) -> list[Candidate]:
+        """Return the candidates with the highest scores."""
+        scored = sorted(
+            candidates, key=lambda candidate: _score(key, candidate), reverse=True
+        )
+        return scored[:count]
+
+
+def _score(key: bytes, candidate: Candidate) -> float:
+    """Return the score of one candidate for a key."""
+    digest = xxhash.xxh3_64_intdigest(candidate.packed + key)
+    fraction = (digest + 0.5) / _HASH_RANGE
+    if fraction >= 1.0:
+        return math.inf
+    return -candidate.weight / math.log(fraction)
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/tests/test_encapsulation.py
@@ -0,0 +1,58 @@
+"""Tests of the packets between balancers and companions."""
+
+import unittest
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from harness.builders import FLEET_KEY
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.routing import Encapsulation, ForwardedPacket, ReturnedPacket
+from pomelotrail_core.routing.errors import EncapsulationError
+
+_CALLER = Endpoint("198.51.100.4", 5000).pack()
+_BALANCER = Endpoint("192.0.2.200", 7000).pack()
+_FORWARDED = ForwardedPacket(9, 1, _CALLER, _BALANCER, 0, (_BALANCER,), b"payload")
+
+
+class EncapsulationTest(unittest.TestCase):
+    """Only packets of the own fleet are opened."""
+
+    @given(st.binary(max_size=1500), st.integers(0, 4), st.integers(0, 2**64 - 1))
+    def test_forwarded_round_trip(self, payload: bytes, count: int, at: int) -> None:
+        """Every field comes out as it went in."""
+        packet = attrs.evolve(
+            _FORWARDED, version=at, payload=payload, candidates=(_BALANCER,) * count
+        )
+        codec = Encapsulation(FLEET_KEY)
+        opened = codec.decode_forwarded(codec.encode_forwarded(packet))
+        self.assertEqual(opened.unwrap(), packet)
+
+    def test_returned_round_trip(self) -> None:
+        """Answers keep their fields too."""
+        packet = ReturnedPacket(9, 1, _CALLER, b"answer")
+        codec = Encapsulation(FLEET_KEY)
+        opened = codec.decode_returned(codec.encode_returned(packet))
+        self.assertEqual(opened.unwrap(), packet)
+
+    @given(st.integers(0, 63))
+    def test_changed_datagram_is_refused(self, position: int) -> None:
+        """A changed byte anywhere is noticed."""
+        codec = Encapsulation(FLEET_KEY)
+        datagram = bytearray(codec.encode_forwarded(_FORWARDED))
+        datagram[position % len(datagram)] ^= 0xFF
+        self.assertTrue(codec.decode_forwarded(bytes(datagram)).is_err())
+
+    @given(st.binary(max_size=100))
+    def test_random_datagram_is_refused(self, datagram: bytes) -> None:
+        """Random bytes are refused and never raise."""
+        codec = Encapsulation(FLEET_KEY)
+        self.assertTrue(codec.decode_forwarded(datagram).is_err())
+        self.assertTrue(codec.decode_returned(datagram).is_err())
+
+    def test_another_fleet_key(self) -> None:
+        """A stranger's packet fails the MAC."""
+        datagram = Encapsulation(bytes(32)).encode_forwarded(_FORWARDED)
+        error = Encapsulation(FLEET_KEY).decode_forwarded(datagram).unwrap_err()
+        self.assertIs(error, EncapsulationError.MAC)
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/tests/test_token.py
@@ -0,0 +1,46 @@
+"""Tests of routing tokens."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from harness.builders import TOKEN_KEY, routing_token, token_keys
+from pomelotrail_core.routing import TokenKeys, TokenMint, TokenReader
+from pomelotrail_core.routing.const import TOKEN_BYTES
+from pomelotrail_core.routing.errors import TokenError
+
+
+class TokenTest(unittest.TestCase):
+    """Tokens name their owner and can't be forged."""
+
+    def test_round_trip(self) -> None:
+        """A reader with the same key sees what the mint sealed."""
+        connection_id = TokenMint(token_keys(), routing_token()).mint()
+        self.assertEqual(len(connection_id), TOKEN_BYTES)
+        self.assertEqual(
+            TokenReader(token_keys()).read(connection_id).unwrap(), routing_token()
+        )
+
+    @given(st.integers(0, 8 * TOKEN_BYTES - 1))
+    def test_any_flipped_bit_is_noticed(self, bit: int) -> None:
+        """No single change of a token leads to another companion."""
+        changed = bytearray(TokenMint(token_keys(), routing_token()).mint())
+        changed[bit // 8] ^= 1 << bit % 8
+        result = TokenReader(token_keys()).read(bytes(changed))
+        self.assertTrue(result.is_err())
+
+    def test_two_generations(self) -> None:
+        """During a rotation tokens of both generations are read."""
+        old = TokenKeys(0, {0: TOKEN_KEY})
+        new = TokenKeys(1, {0: TOKEN_KEY, 1: bytes(16)})
+        for keys in (old, new):
+            connection_id = TokenMint(keys, routing_token()).mint()
+            self.assertTrue(TokenReader(new).read(connection_id).is_ok())
+
+    def test_unknown_generation(self) -> None:
+        """A token of a key that is not in the settings is refused."""
+        keys = TokenKeys(2, {2: TOKEN_KEY})
+        connection_id = TokenMint(keys, routing_token()).mint()
+        error = TokenReader(token_keys()).read(connection_id).unwrap_err()
+        self.assertIs(error, TokenError.GENERATION)
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/token.py
@@ -0,0 +1,104 @@
+"""Connection IDs that name the companion which owns the flow.
+
+A token has 20 bytes: one byte whose two upper bits are the generation of the
+key, three random bytes, and one AES block. Inside the block stand availability
+zone, address and port of the companion, service, incarnation, one random byte,
+and a copy of the first four bytes, which authenticates the token: a forged one
+passes with a probability of 2^-32.
+"""
+
+import os
+import struct
+from typing import Final
+
+import attrs
+from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
+from result import Err, Ok, Result
+
+from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES, Endpoint
+
+from .const import MAX_KEY_GENERATION, TOKEN_BYTES
+from .errors import TokenError
+
+_BLOCK: Final = struct.Struct(f"!B{PACKED_ENDPOINT_BYTES}sHHB4s")
+_PREFIX_BYTES: Final = 4
+_GENERATION_SHIFT: Final = 6
+_RANDOM_MASK: Final = 0x3F
+
+
+@attrs.frozen
+class RoutingToken:
+    """What a connection ID says: the companion that owns the flow."""
+
+    zone_number: int
+    companion: Endpoint
+    service_number: int
+    incarnation: int
+
+
+@attrs.frozen
+class TokenKeys:
+    """The AES keys by generation, of which ``current`` seals new tokens."""
+
+    current: int
+    keys: dict[int, bytes] = attrs.field(repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Check the generations."""
+        if self.current not in self.keys:
+            raise ValueError(f"no token key of the current generation {self.current}")
+        if max(self.keys) > MAX_KEY_GENERATION:
+            raise ValueError(f"generations go from 0 to {MAX_KEY_GENERATION}")
+
+
+class TokenMint:
+    """Makes the connection IDs of one companion."""
+
+    def __init__(self, keys: TokenKeys, token: RoutingToken) -> None:
+        """Seal ``token`` with the current key."""
+        self._generation = keys.current
+        cipher = Cipher(algorithms.AES(keys.keys[keys.current]), modes.ECB())
+        # One block with a unique prefix at a time, so ECB repeats nothing.
+        self._encryptor = cipher.encryptor()
+        self._token = token
+        self._packed_companion = token.companion.pack()
+
+    def mint(self) -> bytes:
+        """Return a new connection ID of 20 bytes; no two look related."""
+        random = os.urandom(_PREFIX_BYTES + 1)
+        first = self._generation << _GENERATION_SHIFT | random[0] & _RANDOM_MASK
+        prefix = bytes([first]) + random[1:_PREFIX_BYTES]
+        block = _BLOCK.pack(
+            self._token.zone_number,
+            self._packed_companion,
+            self._token.service_number,
+            self._token.incarnation & 0xFFFF,
+            random[_PREFIX_BYTES],
+            prefix,
+        )
+        return prefix + self._encryptor.update(block)
+
+
+class TokenReader:
+    """Opens the connection IDs that any companion of the fleet made."""
+
+    def __init__(self, keys: TokenKeys) -> None:
+        """Accept tokens of every generation in ``keys``."""
+        self._decryptors = {
+            generation: Cipher(algorithms.AES(key), modes.ECB()).decryptor()
+            for generation, key in keys.keys.items()
+        }
+
+    def read(self, connection_id: bytes) -> Result[RoutingToken, TokenError]:
+        """Open a connection ID and check that it was made with a fleet key."""
+        if len(connection_id) != TOKEN_BYTES:
+            return Err(TokenError.LENGTH)
+        decryptor = self._decryptors.get(connection_id[0] >> _GENERATION_SHIFT)
+        if decryptor is None:
+            return Err(TokenError.GENERATION)
+        prefix = connection_id[:_PREFIX_BYTES]
+        block = decryptor.update(connection_id[_PREFIX_BYTES:])
+        zone, companion, service, incarnation, _, check = _BLOCK.unpack(block)
+        if check != prefix:
+            return Err(TokenError.CHECK)
+        return Ok(RoutingToken(zone, Endpoint.unpack(companion), service, incarnation))
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/loader.py
@@ -0,0 +1,89 @@
+"""Reads a YAML file and checks it by a schema."""
+
+import difflib
+from pathlib import Path
+from typing import Any
+
+import voluptuous as vol
+import yaml
+from result import Err, Ok, Result
+
+from .errors import SettingsError
+from .validators import SecretInvalid
+
+
+def load_settings(path: Path, schema: vol.Schema) -> Result[Any, SettingsError]:
+    """Read ``path`` and return what the schema makes of it."""
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        remedy = f"can't be read ({error}); give the path of a YAML file"
+        return Err(SettingsError(str(path), "", remedy))
+    return parse_document(text, schema, str(path))
+
+
+def parse_document(
+    text: str, schema: vol.Schema, source: str
+) -> Result[Any, SettingsError]:
+    """Check a YAML text by a schema; the error names key, value and remedy."""
+    try:
+        document = yaml.load(text, Loader=yaml.CSafeLoader)
+    except yaml.YAMLError as error:
+        return Err(SettingsError(source, "", f"is not YAML: {error}"))
+    try:
+        return Ok(schema(document))
+    except vol.MultipleInvalid as error:
+        return Err(_describe(error.errors[0], document, schema, source))
+
+
+def _describe(
+    error: vol.Invalid, document: Any, schema: vol.Schema, source: str
+) -> SettingsError:
+    """Turn a schema error into one that names the remedy."""
+    key = ".".join(str(part) for part in error.path)
+    value = _value_at(document, error.path)
+    if error.error_message == "extra keys not allowed":
+        return SettingsError(source, key, _unknown_key(error, schema))
+    if error.error_message == "required key not provided":
+        return SettingsError(source, key, "is missing; add it")
+    problem = error.error_message
+    is_secret = isinstance(error, SecretInvalid)
+    if value is not None and repr(value) not in problem and not is_secret:
+        problem = f"{problem}, not {value!r}"
+    return SettingsError(source, key, problem)
+
+
+def _value_at(document: Any, path: list[Any]) -> Any:
+    """Return the value at a path, or None."""
+    for part in path:
+        try:
+            document = document[getattr(part, "schema", part)]
+        except (KeyError, IndexError, TypeError):
+            return None
+    return document
+
+
+def _unknown_key(error: vol.Invalid, schema: vol.Schema) -> str:
+    """Say which keys are allowed beside an unknown one."""
+    allowed = _allowed_keys(schema.schema, error.path[:-1])
+    if not allowed:
+        return "is not known; remove it"
+    close = difflib.get_close_matches(str(error.path[-1]), allowed, n=1)
+    hint = f"did you mean {close[0]!r}? " if close else ""
+    return f"is not known; {hint}Allowed here: {', '.join(allowed)}"
+
+
+def _allowed_keys(schema: Any, path: list[Any]) -> list[str]:
+    """Return the keys that the schema allows at a path."""
+    for part in path:
+        schema = getattr(schema, "schema", schema)
+        if isinstance(schema, list):
+            schema = schema[0]
+            continue
+        if not isinstance(schema, dict):
+            return []
+        schema = next((sub for key, sub in schema.items() if str(key) == str(part)), {})
+    schema = getattr(schema, "schema", schema)
+    if not isinstance(schema, dict):
+        return []
+    return sorted(str(key) for key in schema)
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/timeline/messages.py
@@ -0,0 +1,60 @@
+"""The events that a process records."""
+
+import enum
+from datetime import datetime, timedelta
+
+import attrs
+
+
+class EventKind(enum.Enum):
+    """What happened; the value is the name on the time line."""
+
+    PROCESS_STARTED = "process started"
+    PROCESS_STOPPING = "process stopping"
+    CONFIGURATION_IN_FORCE = "configuration in force"
+    CONFIGURATION_REFUSED = "configuration refused"
+    FLOW_OPENED = "flow opened"
+    FLOW_CLOSED = "flow closed"
+    FLOW_PASSED_ON = "flow passed on"
+    FLOW_REFUSED = "flow refused"
+    PACKET_DROPPED = "packet dropped"
+    REQUEST_STARTED = "request started"
+    REQUEST_ANSWERED = "request answered"
+    REQUEST_REFUSED = "request refused"
+    REQUEST_RELAYED = "request relayed"
+    TICKET_FENCED = "ticket fenced"
+    TICKET_DELEGATED = "ticket delegated"
+    LIMIT_CHANGED = "limit changed"
+    BACKEND_SERVER_COLD = "backend server cold"
+    BACKEND_SERVER_WARM = "backend server warm"
+    SUSPECTED = "suspected"
+    TRUSTED = "trusted"
+    ZONE_OUT = "zone out"
+    ZONE_BACK = "zone back"
+    DRAINING = "draining"
+    WOKE_LATE = "woke late"
+
+
+@attrs.frozen
+class Event:
+    """One event of one process.
+
+    ``sequence`` counts the events of the process; ``cause`` is the identifier
+    of the event that led to this one, as ``process/sequence``, or empty.
+    """
+
+    process: str
+    sequence: int
+    kind: EventKind
+    at: datetime
+    monotonic: timedelta
+    zone: str = ""
+    flow: str = ""
+    request: str = ""
+    cause: str = ""
+    detail: str = ""
+
+    @property
+    def identifier(self) -> str:
+        """Return the name by which other events refer to this one."""
+        return f"{self.process}/{self.sequence}"
--- /dev/null
+++ b/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around pomelotrail, for tests and the demo."""
--- /dev/null
+++ b/stand_ins/backend_server/__init__.py
@@ -0,0 +1,1 @@
+"""A backend server with slots, cold start, shedding and a record of executions."""
--- /dev/null
+++ b/stand_ins/caller/__init__.py
@@ -0,0 +1,5 @@
+"""A caller: an HTTP/3 client that keeps boards open and sends requests."""
+
+from .client import Caller, CallerAnswer, FlowLost, async_connect
+
+__all__ = ["Caller", "CallerAnswer", "FlowLost", "async_connect"]
--- /dev/null
+++ b/stand_ins/caller/__main__.py
@@ -0,0 +1,71 @@
+"""Runs callers: ``python -m stand_ins.caller SETTINGS``.
+
+Every caller keeps a board open and sends the listed requests in turn until the
+given time is over; the last line printed is a summary as JSON.
+"""
+
+import asyncio
+import json
+import sys
+from collections import Counter
+
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.process import announce_ready
+from stand_ins.caller.client import Caller, FlowLost, async_connect
+from stand_ins.serving import read_yaml
+
+TICKET_HEADER = "idempotency-key"
+
+
+async def _async_send(caller: Caller, request: dict, served: Counter[str]) -> None:
+    """Send one request; retry with the ticket that a 428 answer brings."""
+    body = b"x" * request.get("body_bytes", 0)
+    headers: dict[str, str] = {}
+    for _ in range(2):
+        answer = await caller.async_request(
+            request["method"], request["path"], body, headers
+        )
+        if answer.status != 428:
+            break
+        headers[TICKET_HEADER] = answer.headers[TICKET_HEADER]
+    expected = request.get("answer_bytes", 1)
+    is_served = answer.status == 200 and len(answer.body) >= expected
+    served[request["name"] if is_served else f"status {answer.status}"] += 1
+
+
+async def _async_call(settings: dict, service: dict, served: Counter[str]) -> None:
+    """Run one caller of a service."""
+    address = Endpoint.parse(service["address"]).unwrap()
+    loop = asyncio.get_running_loop()
+    end = loop.time() + settings["seconds"]
+    try:
+        async with async_connect(address.host, address.port) as caller:
+            board = caller.open("GET", service["board"]) if "board" in service else None
+            while loop.time() < end:
+                for request in service["requests"]:
+                    await _async_send(caller, request, served)
+                await asyncio.sleep(settings["pause_seconds"])
+            if board is not None:
+                before = len(board.body)
+                await board.async_bytes(before + 1)
+                served["board kept open"] += 1
+    except (FlowLost, ConnectionError):
+        served["broken flows"] += 1
+
+
+async def _async_run(settings: dict) -> None:
+    """Run all callers and print the summary."""
+    served: Counter[str] = Counter()
+    announce_ready(settings["name"])
+    await asyncio.gather(
+        *(
+            _async_call(settings, service, served)
+            for service in settings["services"]
+            for _ in range(service["callers"])
+        )
+    )
+    print(json.dumps(dict(sorted(served.items()))), flush=True)
+
+
+if __name__ == "__main__":
+    asyncio.run(_async_run(read_yaml(sys.argv[1])))
--- /dev/null
+++ b/stand_ins/fabric/__init__.py
@@ -0,0 +1,1 @@
+"""A fabric that sends every packet of a caller to a random balancer."""
--- /dev/null
+++ b/stand_ins/vm_list/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's lagging list of live and leaving VMs."""
