--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of real slices, each beside a baseline in the same run."""
