Classes of work may be streams

Ruled out: telling them apart by path (no other service could use it) and only by the answer's length (works, but late: kept as the fallback). The key is optional and off by default, so published documents stay valid.

--- a/harness/specification.py
+++ b/harness/specification.py
@@ -26,7 +26,12 @@
 
 
 def _class(
-    name: str, method: str, path: str, within: str, run_once: bool = False
+    name: str,
+    method: str,
+    path: str,
+    within: str,
+    run_once: bool = False,
+    stream: bool = False,
 ) -> dict[str, Any]:
     """Return one class of work as it stands in a configuration document."""
     return {
@@ -34,6 +39,7 @@
         "method": method,
         "path": path,
         "run_once": run_once,
+        "stream": stream,
         "target": {"within": within, "share": 0.99},
     }
 
@@ -46,7 +52,7 @@
             name="stock-ledger",
             classes=(
                 _class("post-entry", "POST", "/entries", "500 ms", run_once=True),
-                _class("read-board", "GET", "/board", "300 ms"),
+                _class("read-board", "GET", "/board", "300 ms", stream=True),
                 _class("bulk-upload", "POST", "/uploads", "5 s"),
             ),
             endpoints=7,
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/document.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/document.py
@@ -23,7 +23,8 @@
     """A class of work with its target instead of weights.
 
     Of the requests of the class, ``share`` should be answered within
-    ``within``. ``run_once`` marks requests that must not run twice.
+    ``within``. ``run_once`` marks requests that must not run twice;
+    ``is_stream`` marks answers that stay open, whose target is their head.
     """
 
     name: str
@@ -34,6 +35,7 @@
     run_once: bool
     deadline: timedelta
     body_limit: int
+    is_stream: bool = False
 
     def matches(self, method: str, path: str) -> bool:
         """Tell whether a request belongs to the class."""
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/parser.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/parser.py
@@ -65,6 +65,7 @@
     vol.Required("path"): vol.All(str, vol.Match(r"^/")),
     vol.Required("target"): _TARGET,
     vol.Optional("run_once", default=False): bool,
+    vol.Optional("stream", default=False): bool,
     vol.Optional("deadline", default=DEFAULT_DEADLINE): duration,
     vol.Optional("body_limit", default=DEFAULT_BODY_BYTES): _POSITIVE,
 }
@@ -153,6 +154,7 @@
         run_once=entry["run_once"],
         deadline=entry["deadline"],
         body_limit=entry["body_limit"],
+        is_stream=entry["stream"],
     )
 
 
