Open boards no longer hold the slots of short work

Cause: the gate held a slot until the whole body was read, and a board has no end: five boards blocked a ledger of five slots for good. Ruled out: a slot apart for streams (they'd still fill it) and a time limit on streams (it would break flows). Streams leave their slot with the head of the answer; the connections of the backend server bound how many there are. Unmarked streams follow with the new gate.

--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/gate.py
@@ -31,7 +31,10 @@
         self._waiting = 0
 
     async def async_handle(self, request: Request) -> Answer:
-        """Wait for a slot, and hold it until the answer has been read."""
+        """Wait for a slot, and hold it until the answer has been read.
+
+        A stream leaves its slot with the head of its answer.
+        """
         if self._waiting >= QUEUE_LIMIT:
             return refuse(Refusal(RefusalKind.OVERLOADED, Outcome.NOT_RUN, RETRY_AFTER))
         self._waiting += 1
@@ -44,6 +47,9 @@
         except BaseException:
             self._slots.release()
             raise
+        if request.request_class is not None and request.request_class.is_stream:
+            self._slots.release()
+            return answer
         return attrs.evolve(answer, body=self._async_hold_slot(answer.body))
 
     async def _async_hold_slot(
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/tests/builders.py
@@ -0,0 +1,88 @@
+"""Builders of test data for the admission slice."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from typing import Any
+
+from harness.builders import request_class
+from pomelotrail_companion.requests import Answer, Header, Request, RequestHandler
+from pomelotrail_companion.requests.messages import async_pieces
+from pomelotrail_core.configuration import RequestClass
+
+BOARD = request_class(name="read-board", is_stream=True)
+ENTRY = request_class(
+    name="post-entry",
+    method="POST",
+    path="/entries",
+    within=timedelta(milliseconds=500),
+    run_once=True,
+)
+CHART = request_class(name="fetch-chart", path="/archive", within=timedelta(seconds=10))
+
+
+class FakeBackend(RequestHandler):
+    """A backend server whose answers a test lets go one by one."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.running: list[Request] = []
+        self.seen = 0
+        self.most_at_once = 0
+        self._answers: dict[str, asyncio.Future[Answer]] = {}
+
+    async def async_handle(self, request: Request) -> Answer:
+        """Run a request until the test answers it."""
+        self.seen += 1
+        self.running.append(request)
+        self.most_at_once = max(self.most_at_once, len(self.running))
+        future = asyncio.get_running_loop().create_future()
+        self._answers[request.identifier] = future
+        try:
+            return await future
+        finally:
+            self.running.remove(request)
+
+    def answer(self, identifier: str, answer: Answer | None = None) -> None:
+        """Answer a running request."""
+        self._answers[identifier].set_result(answer or sized_answer())
+
+
+def request(
+    identifier: str, kind: RequestClass = ENTRY, deadline: float | None = 30.0
+) -> Request:
+    """Return a request of a class with its deadline in seconds."""
+    fields: dict[str, Any] = {"identifier": identifier, "flow": "flow"}
+    return Request(
+        **fields,
+        method=kind.method,
+        path=kind.path,
+        headers=(),
+        body=async_pieces(),
+        deadline=None if deadline is None else timedelta(seconds=deadline),
+        request_class=kind,
+    )
+
+
+def sized_answer(status: int = 200, **headers: str) -> Answer:
+    """Return an answer whose length is known."""
+    fields = [Header(name.replace("_", "-"), value) for name, value in headers.items()]
+    return Answer(
+        status, (Header("content-length", "4"), *fields), async_pieces(b"done")
+    )
+
+
+def open_answer(lines: asyncio.Queue[bytes]) -> Answer:
+    """Return an answer without a length that goes on as long as lines come."""
+    return Answer(200, (), _async_lines(lines))
+
+
+async def _async_lines(lines: asyncio.Queue[bytes]) -> AsyncIterator[bytes]:
+    """Yield lines for ever."""
+    while True:
+        yield await lines.get()
+
+
+async def async_read(answer: Answer) -> bytes:
+    """Read a whole answer."""
+    return b"".join([piece async for piece in answer.body])
