Requests start by their targets, within a limit found from evidence

Cause: the gate knew one number, the slots, whether the backend server was cold or not, let a storm of one class fill every slot, and told nobody before the queue was full. Now a limit between 1 and the slots grows by completed work and falls to 1 on any evidence for cold (shed, failure, slow or overdue answer, long idleness, start); requests start by share of slots, shortfall and target deadline; those that can't be in time are refused before their body is read, with a jittered Retry-After. Unmarked answers without a length count as streams once they outlast the target. A slot is freed also when nobody reads the body: closing a generator that never started skips its clean-up, so the body is a class now.

Each test was seen to fail on a broken variant: without _free_if_stream the unmarked boards kept their slots; without SlotBody.__del__ the unread body did; without ending a granted request whose caller left, the slot was lost; with the slot freed at the head of a sized answer, the next one started beside it; without predict() nothing was refused early. Ruled out: a token bucket per class (a weight by another name).

--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/const.py
@@ -0,0 +1,31 @@
+"""Constants of the admission slice."""
+
+from datetime import timedelta
+from typing import Final
+
+# Concurrency limit.
+GROWTH_COMPLETIONS: Final = 10
+NEW_BASELINE_COMPLETIONS: Final = 20
+IDLE_TRUST: Final = timedelta(seconds=30)
+
+# Latency baseline of one class.
+BASELINE_SAMPLES: Final = 50
+FASTER_RUN: Final = 10
+STEADY_SPREAD: Final = 1.5
+STEADY_SLOW_FACTOR: Final = 2.0
+SPREAD_SLOW_FACTOR: Final = 1.5
+
+# Order of work.
+MAX_WAITING: Final = 256
+USE_HALF_LIFE: Final = timedelta(seconds=5)
+TARGET_HALF_LIFE: Final = timedelta(seconds=30)
+RECENTLY_SEEN: Final = timedelta(seconds=30)
+SERVICE_TIME_GAIN: Final = 0.125
+MIN_RATE_SHARE: Final = 0.2
+SHORTFALL_STEP: Final = 0.1
+
+# Refusals.
+MIN_RETRY_AFTER: Final = timedelta(seconds=1)
+RETRY_JITTER: Final = timedelta(seconds=2)
+SHED_HEADER: Final = "request-shed"
+SHED_FOR_DEADLINE: Final = "deadline"
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/scheduler.py
@@ -0,0 +1,212 @@
+"""Starts requests within the limit, in order, and refuses those too late."""
+
+from datetime import timedelta
+from typing import Final
+
+from pomelotrail_core.clock import Clock
+
+from .class_state import ClassState, ScheduledRequest
+from .const import MAX_WAITING, MIN_RATE_SHARE
+from .limit import ColdEvidence, ConcurrencyLimit
+from .messages import ClassFigures, Decision, Prediction, WorkResult
+from .order import WorkOrder
+
+_EVIDENCE: Final = {
+    WorkResult.SHED: ColdEvidence.SHED,
+    WorkResult.FAILED: ColdEvidence.FAILED,
+}
+
+
+class Scheduler:
+    """Owns the slots of the backend server and the queue before them."""
+
+    def __init__(self, limit: ConcurrencyLimit, order: WorkOrder, clock: Clock) -> None:
+        """Admit within ``limit`` in the given order."""
+        self._limit = limit
+        self._order = order
+        self._clock = clock
+        self._classes: dict[str, ClassState] = {}
+        self._running: set[ScheduledRequest] = set()
+
+    @property
+    def running(self) -> int:
+        """Return the number of busy slots."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests in the queue."""
+        return sum(len(state.waiting) for state in self._classes.values())
+
+    @property
+    def limit(self) -> ConcurrencyLimit:
+        """Return the limit in force."""
+        return self._limit
+
+    def class_figures(self) -> list[ClassFigures]:
+        """Return how each class fares."""
+        now = self._clock.monotonic()
+        return [
+            ClassFigures(
+                name=name,
+                waiting=len(state.waiting),
+                running=state.running,
+                refused=state.refused,
+                met_share=state.met_share(now),
+                target_share=state.request_class.share,
+            )
+            for name, state in self._classes.items()
+        ]
+
+    def figures(self) -> dict[str, float]:
+        """Return the figures for the status of the process."""
+        figures = {
+            "admission.limit": float(self._limit.limit),
+            "admission.running": float(self.running),
+            "admission.waiting": float(self.waiting),
+        }
+        for each in self.class_figures():
+            prefix = f"class.{each.name}"
+            figures[f"{prefix}.refused"] = float(each.refused)
+            figures[f"{prefix}.met_share"] = each.met_share
+            figures[f"{prefix}.target_share"] = each.target_share
+        return figures
+
+    def offer(self, request: ScheduledRequest) -> None:
+        """Start, queue or refuse a request that has just arrived."""
+        state = self._state(request)
+        state.waiting.append(request)
+        self._start_next()
+        if request.permit is not None:
+            return
+        if self.waiting > MAX_WAITING or not self.predict(request).is_in_time:
+            self.refuse(request)
+
+    def refuse(self, request: ScheduledRequest) -> None:
+        """Refuse a waiting request; nothing of it has run."""
+        state = self._classes[request.request_class.name]
+        state.waiting.remove(request)
+        state.refused += 1
+        state.count_end(False, self._clock.monotonic())
+        request.decide(Decision.REFUSE)
+
+    def withdraw(self, request: ScheduledRequest) -> None:
+        """Forget a waiting request whose caller has gone."""
+        self._classes[request.request_class.name].waiting.remove(request)
+
+    def learn_head(self, request: ScheduledRequest, result: WorkResult) -> None:
+        """Learn from the head of an answer; the slot stays taken."""
+        assert request.permit is not None
+        request.has_head = True
+        evidence = _EVIDENCE.get(result)
+        if evidence is not None:
+            self.take_evidence(evidence)
+        if result is WorkResult.COMPLETED:
+            began = request.ready_at or request.started
+            self._limit.complete(request.permit, self._clock.monotonic() - began)
+
+    def end(self, request: ScheduledRequest, result: WorkResult) -> None:
+        """Free the slot of a request and start the next ones."""
+        now = self._clock.monotonic()
+        state = self._classes[request.request_class.name]
+        state.use(now)
+        state.running -= 1
+        self._running.remove(request)
+        if result is WorkResult.COMPLETED:
+            state.learn_service_time(now - request.started)
+        if result is not WorkResult.CANCELLED:
+            is_met = result in (WorkResult.COMPLETED, WorkResult.ERRED)
+            state.count_end(is_met and now <= request.target_deadline, now)
+        self._start_next()
+
+    def take_evidence(self, evidence: ColdEvidence) -> None:
+        """Fall to one request at a time and refuse those now too late."""
+        self._limit.take_evidence(evidence)
+        self._refuse_too_late()
+
+    def predict(self, request: ScheduledRequest) -> Prediction:
+        """Predict the wait of a request in the queue.
+
+        It is the work that goes before it, over the part of the limit that
+        this class can count on. A class whose work takes longer than its
+        target, even alone, is held to its deadline instead.
+        """
+        now = self._clock.monotonic()
+        state = self._classes[request.request_class.name]
+        ahead = self._work_ahead(request, state, now)
+        wait = ahead / (self._limit.limit * self._rate_share(state, now))
+        end = now + wait + state.service_time
+        bound = min(request.target_deadline, request.deadline)
+        if state.service_time >= request.request_class.within:
+            bound = request.deadline
+        return Prediction(wait, end <= bound)
+
+    def _state(self, request: ScheduledRequest) -> ClassState:
+        """Return the state of the class, by the configuration of the request."""
+        now = self._clock.monotonic()
+        kind = request.request_class
+        state = self._classes.setdefault(kind.name, ClassState(kind, now))
+        state.request_class = kind
+        state.seen_at = now
+        return state
+
+    def _start_next(self) -> None:
+        """Start waiting requests while the limit allows."""
+        now = self._clock.monotonic()
+        self._notice_overdue(now)
+        while len(self._running) < self._limit.limit:
+            states = self._classes.values()
+            state = self._order.choose(states, self._limit.limit, now)
+            if state is None:
+                return
+            self._start(state, now)
+
+    def _start(self, state: ClassState, now: timedelta) -> None:
+        """Start the next request of a class."""
+        request = state.take_next(now)
+        state.use(now)
+        state.running += 1
+        request.started = now
+        request.permit = self._limit.permit(state.request_class.name)
+        self._running.add(request)
+        request.decide(Decision.START)
+
+    def _notice_overdue(self, now: timedelta) -> None:
+        """Take a running request without an answer for long as evidence."""
+        for request in self._running:
+            if request.has_head or request.ready_at is None:
+                continue
+            assert request.permit is not None
+            if self._limit.is_overdue(request.permit, now - request.ready_at):
+                self.take_evidence(ColdEvidence.SLOW)
+                return
+
+    def _work_ahead(
+        self, request: ScheduledRequest, state: ClassState, now: timedelta
+    ) -> timedelta:
+        """Return the slot time of all work that goes before a request."""
+        states = self._classes.values()
+        own = self._order.precedence(state, states, now)
+        ahead = timedelta()
+        for other in states:
+            ahead += other.service_time * other.running / 2
+            if other is state:
+                ahead += other.service_time * state.waiting.index(request)
+            elif self._order.precedence(other, states, now) < own:
+                ahead += other.service_time * len(other.waiting)
+        return ahead
+
+    def _rate_share(self, state: ClassState, now: timedelta) -> float:
+        """Return the part of the limit that a class can count on."""
+        uses = {name: each.use(now) for name, each in self._classes.items()}
+        total = sum(uses.values())
+        own = uses[state.request_class.name]
+        if total <= 0 or own * len(uses) <= total:
+            return 1.0
+        return max(MIN_RATE_SHARE, own / total)
+
+    def _refuse_too_late(self) -> None:
+        """Refuse from the end of each queue what can't be in time any more."""
+        for state in self._classes.values():
+            while state.waiting and not self.predict(state.waiting[-1]).is_in_time:
+                self.refuse(state.waiting[-1])
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/tests/builders.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/tests/builders.py
@@ -1,14 +1,24 @@
 """Builders of test data for the admission slice."""
 
 import asyncio
+import random
 from collections.abc import AsyncIterator
 from datetime import timedelta
 from typing import Any
 
 from harness.builders import request_class
+from pomelotrail_companion.admission import (
+    AdmissionGate,
+    ConcurrencyLimit,
+    FixedLimit,
+    Scheduler,
+    TargetOrder,
+)
 from pomelotrail_companion.requests import Answer, Header, Request, RequestHandler
 from pomelotrail_companion.requests.messages import async_pieces
+from pomelotrail_core.clock import Clock
 from pomelotrail_core.configuration import RequestClass
+from pomelotrail_core.timeline import Recorder
 
 BOARD = request_class(name="read-board", is_stream=True)
 ENTRY = request_class(
@@ -48,6 +58,19 @@
         self._answers[identifier].set_result(answer or sized_answer())
 
 
+def recorder(clock: Clock) -> Recorder:
+    """Return the recorder of a companion."""
+    return Recorder("ledger-1", "veraval", clock)
+
+
+def gate(
+    backend: RequestHandler, clock: Clock, limit: ConcurrencyLimit | None = None
+) -> AdmissionGate:
+    """Return a gate with the order by targets, by default with five slots."""
+    scheduler = Scheduler(limit or FixedLimit(5), TargetOrder(), clock)
+    return AdmissionGate(scheduler, backend, clock, recorder(clock), random.Random(1))
+
+
 def request(
     identifier: str, kind: RequestClass = ENTRY, deadline: float | None = 30.0
 ) -> Request:
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -25,7 +25,7 @@
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
-from .admission import AdmissionGate
+from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .backend import BackendClient
 from .draining import DrainingState
 from .edge import PacketSocket, QuicEdge
@@ -55,6 +55,7 @@
         self._draining = DrainingState(process.name, process.zone, self._recorder)
         self._roster = Roster()
         self._edge: QuicEdge | None = None
+        self._scheduler: Scheduler | None = None
         self._control = ControlServer(
             process.control,
             [
@@ -139,7 +140,11 @@
     ) -> RequestHandler:
         """Return the steps that each request passes."""
         backend = BackendClient(self._settings.backend_server, session, self._clock)
-        gate = AdmissionGate(server.slots, backend)
+        limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
+        self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        gate = AdmissionGate(
+            self._scheduler, backend, self._clock, self._recorder, random.Random()
+        )
         return Dispatcher(
             self._settings.service,
             self._coordinator,
@@ -159,7 +164,8 @@
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
         flows = self._edge.flow_count if self._edge is not None else 0
-        return {"flows": float(flows)}
+        admission = {} if self._scheduler is None else self._scheduler.figures()
+        return {"flows": float(flows), **admission}
 
 
 def _own_server(service: Service | None, name: str) -> BackendServer | None:
