--- /dev/null
+++ b/harness/placement.py
@@ -0,0 +1,152 @@
+"""Policies that place new flows in the simulation, among them baselines."""
+
+import abc
+import random
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Final
+
+import attrs
+
+from harness.simulation import SimulatedServer, Simulation
+from pomelotrail_companion.admission.const import EXCHANGE_INTERVAL, EXCHANGE_PEERS
+from pomelotrail_companion.admission.flow_admission import FlowVerdict, ShareAdmission
+from pomelotrail_companion.admission.peer_loads import PeerLoads
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.routing import Candidate, RendezvousRanking
+from pomelotrail_core.routing.const import MAX_CANDIDATES
+
+LAG: Final = timedelta(seconds=5)
+
+
+@attrs.define(eq=False)
+class Place:
+    """One backend server as a place for flows."""
+
+    number: int
+    server: SimulatedServer
+    connections: int
+    flows: int = 0
+    is_up: bool = True
+    candidate: Candidate = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Give the place an address."""
+        number = self.number + 1
+        host = f"192.0.{number // 250}.{number % 250 + 1}"
+        self.candidate = Candidate(Endpoint(host, 7000))
+
+    @property
+    def use(self) -> float:
+        """Return flows in relation to what the server can carry now."""
+        limit = self.server.limit
+        return self.flows / (self.connections * limit.limit / limit.slots)
+
+
+class Placement(abc.ABC):
+    """Chooses the place of a new flow."""
+
+    def __init__(
+        self, places: Sequence[Place], simulation: Simulation, rng: random.Random
+    ) -> None:
+        """Choose among ``places``."""
+        self._places = places
+        self._simulation = simulation
+        self._rng = rng
+        self._by_candidate = {place.candidate.packed: place for place in places}
+        self._ranking = RendezvousRanking()
+
+    @abc.abstractmethod
+    def place(self, key: bytes) -> Place:
+        """Return the place of a flow with that key."""
+
+    def _ranked(self, key: bytes) -> list[Place]:
+        """Return the candidates as a balancer ranks them."""
+        up = [place.candidate for place in self._places if place.is_up]
+        ranked = self._ranking.rank(key, up, MAX_CANDIDATES)
+        return [self._by_candidate[candidate.packed] for candidate in ranked]
+
+
+class HashPlacement(Placement):
+    """Rendezvous hashing alone."""
+
+    def place(self, key: bytes) -> Place:
+        """Return the first candidate."""
+        return self._ranked(key)[0]
+
+
+class IdealPlacement(Placement):
+    """Perfect knowledge of every load at every moment."""
+
+    def place(self, key: bytes) -> Place:
+        """Return the place with the least use of its present capacity."""
+        up = [place for place in self._places if place.is_up]
+        return min(up, key=lambda place: (place.use, place.server.capacity.running))
+
+
+class LaggingPlacement(Placement):
+    """The least load by reports that are up to ``LAG`` old."""
+
+    def __init__(
+        self, places: Sequence[Place], simulation: Simulation, rng: random.Random
+    ) -> None:
+        """Read the loads now and every ``LAG``."""
+        super().__init__(places, simulation, rng)
+        self._reported: dict[int, float] = {}
+        self._read()
+
+    def place(self, key: bytes) -> Place:
+        """Return the place with the least reported load."""
+        up = [place for place in self._places if place.is_up]
+        least = min(self._reported[place.number] for place in up)
+        return self._rng.choice(
+            [place for place in up if self._reported[place.number] == least]
+        )
+
+    def _read(self) -> None:
+        """Read every load."""
+        self._reported = {place.number: place.use for place in self._places}
+        self._simulation.after(LAG, self._read)
+
+
+class PassOnPlacement(Placement):
+    """The real ranking, flow admission and exchange of loads."""
+
+    def __init__(
+        self, places: Sequence[Place], simulation: Simulation, rng: random.Random
+    ) -> None:
+        """Give each place a companion's view of its peers."""
+        super().__init__(places, simulation, rng)
+        self._loads = {place.number: PeerLoads(simulation) for place in places}
+        self.hops = 0
+        for place in places:
+            delay = EXCHANGE_INTERVAL * rng.random()
+            simulation.after(delay, lambda place=place: self._exchange(place))
+
+    def place(self, key: bytes) -> Place:
+        """Offer the flow to the candidates in turn."""
+        ranked = self._ranked(key)
+        for at, place in enumerate(ranked):
+            others = [each.candidate.packed for each in ranked[at + 1 :]]
+            admission = self._admission(place)
+            verdict = admission.takes_new_flow(place.flows, others)
+            if verdict is FlowVerdict.TAKE:
+                return place
+            self.hops += 1
+        return ranked[-1]
+
+    def _admission(self, place: Place) -> ShareAdmission:
+        """Return the flow admission of a place."""
+        loads = self._loads[place.number]
+        return ShareAdmission(place.connections, place.server.limit, loads)
+
+    def _exchange(self, place: Place) -> None:
+        """Exchange loads with a few peers, both ways."""
+        self._simulation.after(EXCHANGE_INTERVAL, lambda: self._exchange(place))
+        if not place.is_up:
+            return
+        others = [each for each in self._places if each.is_up and each is not place]
+        for peer in self._rng.sample(others, min(EXCHANGE_PEERS, len(others))):
+            for teller, hearer in ((place, peer), (peer, place)):
+                load = self._admission(teller).load(teller.flows)
+                self._loads[hearer.number].hear(teller.candidate.packed, load)
--- /dev/null
+++ b/harness/simulation.py
@@ -0,0 +1,153 @@
+"""A discrete-event fake of backend servers behind the real admission slice."""
+
+import heapq
+import random
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+
+import attrs
+
+from pomelotrail_companion.admission import ConcurrencyLimit, Scheduler, TargetOrder
+from pomelotrail_companion.admission.class_state import ScheduledRequest
+from pomelotrail_companion.admission.messages import Decision, WorkResult
+from pomelotrail_core.clock import Clock
+from pomelotrail_core.configuration import RequestClass
+from stand_ins.backend_server.capacity import Capacity
+
+_EPOCH = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class Simulation(Clock):
+    """Runs events in order of their time, which is also the clock's."""
+
+    def __init__(self) -> None:
+        """Start at zero without events."""
+        self._elapsed = timedelta()
+        self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
+        self._count = 0
+
+    def now(self) -> datetime:
+        """Return the moment that has been reached."""
+        return _EPOCH + self._elapsed
+
+    def monotonic(self) -> timedelta:
+        """Return the simulated time since the start."""
+        return self._elapsed
+
+    async def async_sleep(self, delay: timedelta) -> None:
+        """Refuse to sleep; events take the place of tasks here."""
+        raise NotImplementedError("use after() in a simulation")
+
+    def after(self, delay: timedelta, run: Callable[[], None]) -> None:
+        """Run something after a delay."""
+        self._count += 1
+        heapq.heappush(self._events, (self._elapsed + delay, self._count, run))
+
+    def run_until(self, end: timedelta) -> None:
+        """Run every event up to a time."""
+        while self._events and self._events[0][0] <= end:
+            self._elapsed, _, run = heapq.heappop(self._events)
+            run()
+        self._elapsed = end
+
+
+@attrs.define(eq=False)
+class SimulatedServer:
+    """A backend server with its companion's limit and scheduler.
+
+    ``overruns`` counts requests beyond what the server can carry, once there
+    was an answer from which the companion could have known. Those before are
+    ``unknowable_overruns``.
+    """
+
+    simulation: Simulation
+    limit: ConcurrencyLimit
+    capacity: Capacity
+    rng: random.Random
+    sheds: bool = False
+    overruns: int = 0
+    unknowable_overruns: int = 0
+    in_time: int = 0
+    ended: int = 0
+    refused: int = 0
+    busy_seconds: float = 0.0
+    scheduler: Scheduler = attrs.field(init=False)
+    _cold_at: timedelta | None = attrs.field(init=False, default=None)
+    _busy_until: timedelta = attrs.field(init=False, factory=timedelta)
+
+    def __attrs_post_init__(self) -> None:
+        """Put the real scheduler before the capacity."""
+        self.scheduler = Scheduler(self.limit, TargetOrder(), self.simulation)
+
+    def turn_cold(self) -> None:
+        """Turn cold without telling the companion."""
+        self.capacity.turn_cold()
+        self._cold_at = self.simulation.monotonic()
+
+    def offer(self, kind: RequestClass, work: timedelta) -> None:
+        """Offer a request that takes ``work`` on a warm server."""
+        now = self.simulation.monotonic()
+
+        def decide(decision: Decision) -> None:
+            """Run the request or count its refusal."""
+            if decision is Decision.START:
+                self._start(request, work)
+                return
+            self.refused += 1
+
+        request = ScheduledRequest(kind, now, now + kind.deadline, decide)
+        self.scheduler.offer(request)
+        left = kind.deadline
+
+        def expire() -> None:
+            """Refuse the request if it waits at its deadline."""
+            if request.permit is None and request in self._waiting(kind):
+                self.scheduler.refuse(request)
+
+        if request.permit is None and request in self._waiting(kind):
+            self.simulation.after(left, expire)
+
+    def count_busy(self) -> None:
+        """Add the busy time since the last call."""
+        now = self.simulation.monotonic()
+        elapsed = (now - self._busy_until).total_seconds()
+        self.busy_seconds += elapsed * self.capacity.running
+        self._busy_until = now
+
+    def _waiting(self, kind: RequestClass) -> list[ScheduledRequest]:
+        """Return the waiting requests of a class."""
+        return list(self.scheduler._classes[kind.name].waiting)
+
+    def _start(self, request: ScheduledRequest, work: timedelta) -> None:
+        """Let the backend server work on a request."""
+        self.count_busy()
+        request.ready_at = request.started
+        carried = self.capacity.start()
+        if not carried:
+            is_knowable = self._cold_at is None
+            self.overruns += is_knowable
+            self.unknowable_overruns += not is_knowable
+        if not carried and self.sheds:
+            self.simulation.after(timedelta(), lambda: self._shed(request))
+            return
+        taken = work * self.capacity.slowdown()
+        self.simulation.after(taken, lambda: self._complete(request))
+
+    def _shed(self, request: ScheduledRequest) -> None:
+        """Shed a request, as the backend server documents it."""
+        self.count_busy()
+        self._cold_at = None
+        self.capacity.end(False)
+        self.scheduler.learn_head(request, WorkResult.SHED)
+        self.scheduler.end(request, WorkResult.SHED)
+
+    def _complete(self, request: ScheduledRequest) -> None:
+        """Complete a request."""
+        self.count_busy()
+        if self._cold_at is not None and request.started >= self._cold_at:
+            self._cold_at = None
+        self.capacity.end(True)
+        self.ended += 1
+        self.in_time += self.simulation.monotonic() <= request.target_deadline
+        self.scheduler.learn_head(request, WorkResult.COMPLETED)
+        self.scheduler.end(request, WorkResult.COMPLETED)
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/baseline.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/baseline.py
@@ -31,25 +31,26 @@
     _samples: deque[timedelta] = attrs.field(init=False, factory=_new_samples)
     _faster: deque[timedelta] = attrs.field(init=False, factory=_new_samples)
 
+    _shortest: timedelta = attrs.field(init=False, factory=timedelta)
+    _typical_below: timedelta = attrs.field(init=False, factory=timedelta)
+    _slow_above: timedelta = attrs.field(init=False, factory=timedelta)
+
     @property
-    def slow_above(self) -> timedelta | None:
-        """Return the latency above which an answer is slow; None when unknown."""
-        if not self._samples:
-            return None
-        ordered = sorted(self._samples)
-        high = ordered[-1]
-        middle = ordered[len(ordered) // 2]
-        is_steady = high <= middle * STEADY_SPREAD
-        return high * (STEADY_SLOW_FACTOR if is_steady else SPREAD_SLOW_FACTOR)
+    def is_known(self) -> bool:
+        """Tell whether there is any sample."""
+        return bool(self._samples)
 
     def is_slow(self, latency: timedelta) -> bool:
         """Tell whether a latency is slow; the first ones never are."""
-        bound = self.slow_above
-        return bound is not None and latency > bound
+        return self.is_known and latency > self._slow_above
+
+    def is_typical(self, latency: timedelta) -> bool:
+        """Tell whether a latency proves a warm server, near the middle or below."""
+        return self.is_known and latency <= self._typical_below
 
     def add(self, latency: timedelta) -> None:
         """Take over a normal latency; a run of far shorter ones starts anew."""
-        if self._samples and latency * 2 < sorted(self._samples)[0]:
+        if self._samples and latency * 2 < self._shortest:
             self._faster.append(latency)
         else:
             self._faster.clear()
@@ -57,9 +58,21 @@
             self.replace(list(self._faster))
             return
         self._samples.append(latency)
+        self._set_bounds()
 
     def replace(self, latencies: list[timedelta]) -> None:
         """Forget what was normal and start with these latencies."""
         self._samples.clear()
         self._faster.clear()
         self._samples.extend(latencies)
+        self._set_bounds()
+
+    def _set_bounds(self) -> None:
+        """Work out what is typical and what is slow beside the samples."""
+        ordered = sorted(self._samples)
+        high = ordered[-1]
+        self._shortest = ordered[0]
+        self._typical_below = ordered[len(ordered) // 2] * STEADY_SPREAD
+        is_steady = high <= self._typical_below
+        factor = STEADY_SLOW_FACTOR if is_steady else SPREAD_SLOW_FACTOR
+        self._slow_above = high * factor
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/class_state.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/class_state.py
@@ -1,5 +1,6 @@
 """What the companion knows of one class of work."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
@@ -67,6 +68,7 @@
     service_time: timedelta = timedelta()
     _use: DecayingSum = attrs.field(factory=lambda: DecayingSum(USE_HALF_LIFE))
     _used_until: timedelta = attrs.field(init=False)
+    _arrivals: DecayingSum = attrs.field(factory=lambda: DecayingSum(USE_HALF_LIFE))
     _met: DecayingSum = attrs.field(factory=lambda: DecayingSum(TARGET_HALF_LIFE))
     _ended: DecayingSum = attrs.field(factory=lambda: DecayingSum(TARGET_HALF_LIFE))
 
@@ -74,6 +76,16 @@
         """Count use from the first request on."""
         self._used_until = self.seen_at
 
+    def count_arrival(self, now: timedelta) -> None:
+        """Count a request that has just arrived, whatever becomes of it."""
+        self.seen_at = now
+        self._arrivals.add(1.0, now)
+
+    def demand(self, now: timedelta) -> float:
+        """Return how many slots the requests that arrive would keep busy."""
+        rate = self._arrivals.value(now) * math.log(2) / USE_HALF_LIFE.total_seconds()
+        return rate * self.service_time.total_seconds()
+
     @property
     def is_active(self) -> bool:
         """Tell whether the class has work now."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/const.py
@@ -5,6 +5,7 @@
 
 # Concurrency limit.
 GROWTH_COMPLETIONS: Final = 10
+WEAK_GROWTH_COMPLETIONS: Final = 2
 NEW_BASELINE_COMPLETIONS: Final = 20
 IDLE_TRUST: Final = timedelta(seconds=30)
 
@@ -22,6 +23,7 @@
 RECENTLY_SEEN: Final = timedelta(seconds=30)
 SERVICE_TIME_GAIN: Final = 0.125
 MIN_RATE_SHARE: Final = 0.2
+MIN_REMAINING_SHARE: Final = 0.1
 SHORTFALL_STEP: Final = 0.1
 
 # Refusals.
@@ -29,3 +31,11 @@
 RETRY_JITTER: Final = timedelta(seconds=2)
 SHED_HEADER: Final = "request-shed"
 SHED_FOR_DEADLINE: Final = "deadline"
+
+# Flows.
+SHARE_SLACK: Final = 0.02
+CANDIDATE_SLACK: Final = 0.05
+LOAD_TRUST: Final = timedelta(seconds=10)
+EXCHANGE_INTERVAL: Final = timedelta(seconds=1)
+EXCHANGE_PEERS: Final = 3
+EXCHANGE_TIMEOUT: Final = timedelta(milliseconds=500)
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/limit.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/limit.py
@@ -10,7 +10,12 @@
 from pomelotrail_core.timeline import EventKind, Recorder
 
 from .baseline import LatencyBaseline
-from .const import GROWTH_COMPLETIONS, IDLE_TRUST, NEW_BASELINE_COMPLETIONS
+from .const import (
+    GROWTH_COMPLETIONS,
+    IDLE_TRUST,
+    NEW_BASELINE_COMPLETIONS,
+    WEAK_GROWTH_COMPLETIONS,
+)
 
 
 class ColdEvidence(enum.Enum):
@@ -109,8 +114,10 @@
     """Falls to 1 on any evidence for cold and grows by completed work only.
 
     After strong evidence each further slot needs ``GROWTH_COMPLETIONS``
-    answers at normal latency. After weak evidence it needs one, and twice as
+    answers at typical latency. After weak evidence it needs few, and twice as
     many each time the weak evidence comes back before the limit has recovered.
+    A backend server that has become slower for good is believed after a run of
+    ``NEW_BASELINE_COMPLETIONS`` untypical answers.
     Requests that started before the latest evidence prove nothing, so each
     permit carries the era in which it was given.
     """
@@ -124,9 +131,9 @@
         self._era = 0
         self._completions = 0
         self._needed = GROWTH_COMPLETIONS
-        self._weak_needed = 1
+        self._weak_needed = WEAK_GROWTH_COMPLETIONS
         self._baselines: dict[str, LatencyBaseline] = {}
-        self._slow_alone: dict[str, list[timedelta]] = {}
+        self._untypical: dict[str, list[timedelta]] = {}
         self._alarm: SlowAnswer | None = None
         self._active_at = clock.monotonic()
 
@@ -158,13 +165,19 @@
         if permit.era != self._era:
             return
         baseline = self._baselines.setdefault(permit.class_name, LatencyBaseline())
-        if baseline.is_slow(latency):
-            self._take_slow(permit.class_name, baseline, latency)
+        if self._limit > 1 and baseline.is_slow(latency):
+            self.take_evidence(ColdEvidence.SLOW)
+            self._alarm = SlowAnswer(permit.class_name, latency)
+            return
+        if baseline.is_known and not baseline.is_typical(latency):
+            self._take_untypical(permit.class_name, baseline, latency)
             return
-        self._slow_alone.pop(permit.class_name, None)
+        proves_warmth = baseline.is_known or self._needed == GROWTH_COMPLETIONS
+        self._untypical.pop(permit.class_name, None)
         self._accept_false_alarm(permit.class_name, baseline)
         baseline.add(latency)
-        self._credit()
+        if proves_warmth:
+            self._credit()
 
     def is_overdue(self, permit: Permit, elapsed: timedelta) -> bool:
         """Tell whether a request of this era is slow without an answer yet."""
@@ -182,7 +195,7 @@
             self._needed = GROWTH_COMPLETIONS
         self._era += 1
         self._completions = 0
-        self._slow_alone.clear()
+        self._untypical.clear()
         if self._limit > 1:
             self._recorder.record(
                 EventKind.BACKEND_SERVER_COLD, detail=f"limit 1, {evidence.value}"
@@ -197,21 +210,20 @@
         baseline.add(self._alarm.latency)
         self._alarm = None
 
-    def _take_slow(
+    def _take_untypical(
         self, class_name: str, baseline: LatencyBaseline, latency: timedelta
     ) -> None:
-        """Fall, or learn a new normal from a long run of slow answers alone."""
-        if self._limit > 1:
-            self.take_evidence(ColdEvidence.SLOW)
-            self._alarm = SlowAnswer(class_name, latency)
+        """Learn how far latencies spread, or a new normal from a long run."""
+        if self._limit == self._slots:
+            baseline.add(latency)
             return
-        self._completions = 0
-        run = self._slow_alone.setdefault(class_name, [])
+        run = self._untypical.setdefault(class_name, [])
         run.append(latency)
         if len(run) < NEW_BASELINE_COMPLETIONS:
             return
         baseline.replace(run)
-        self._slow_alone.pop(class_name)
+        self._untypical.pop(class_name)
+        self._completions = 0
         self._needed = GROWTH_COMPLETIONS
 
     def _credit(self) -> None:
@@ -226,7 +238,7 @@
         self._recorder.record(EventKind.LIMIT_CHANGED, detail=f"limit {self._limit}")
         if self._limit == self._slots:
             self._needed = 1
-            self._weak_needed = 1
+            self._weak_needed = WEAK_GROWTH_COMPLETIONS
             self._recorder.record(
                 EventKind.BACKEND_SERVER_WARM, detail=f"limit {self._limit}"
             )
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/order.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/order.py
@@ -1,7 +1,8 @@
 """In which order waiting requests start."""
 
 import abc
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Sequence
 from datetime import timedelta
 from typing import Final
 
@@ -109,10 +110,12 @@
         limit: int,
         now: timedelta,
     ) -> bool:
-        """Keep one slot from work that outlasts the target of another class."""
-        if state.running == 0 or not _outlasts_others(state, states, now):
+        """Keep slots free of work that outlasts the targets of other classes."""
+        shorter = [each for each in states if _is_outlasted(each, state, now)]
+        if state.running == 0 or not shorter:
             return True
-        return state.running + 1 < limit
+        longer = sum(each.running for each in states if each not in shorter)
+        return longer < limit - _reserved_slots(shorter, states, limit, now)
 
     def _is_over_share(
         self, state: ClassState, states: Iterable[ClassState], now: timedelta
@@ -123,13 +126,28 @@
         return state.use(now) * len(active) > total
 
 
-def _outlasts_others(
-    state: ClassState, states: Iterable[ClassState], now: timedelta
-) -> bool:
+def _is_outlasted(other: ClassState, state: ClassState, now: timedelta) -> bool:
     """Tell whether a class works longer than a recent other class may wait."""
-    return any(
-        each is not state
-        and now - each.seen_at < RECENTLY_SEEN
-        and state.service_time > each.request_class.within
-        for each in states
+    return (
+        other is not state
+        and now - other.seen_at < RECENTLY_SEEN
+        and state.service_time > other.request_class.within
     )
+
+
+def _reserved_slots(
+    shorter: Sequence[ClassState],
+    states: Iterable[ClassState],
+    limit: int,
+    now: timedelta,
+) -> int:
+    """Return the slots that long work must leave to shorter classes.
+
+    They get what their arrivals need, one more while they miss their target,
+    but no more than an equal share of the limit.
+    """
+    demand = math.ceil(sum(each.demand(now) for each in shorter))
+    is_missing = any(each.shortfall(now) > 0 for each in shorter)
+    active = sum(each.is_active or each in shorter for each in states)
+    equal_share = max(1, limit * len(shorter) // active)
+    return min(demand + is_missing, equal_share)
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/scheduler.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/scheduler.py
@@ -1,12 +1,13 @@
 """Starts requests within the limit, in order, and refuses those too late."""
 
+import heapq
 from datetime import timedelta
 from typing import Final
 
 from pomelotrail_core.clock import Clock
 
 from .class_state import ClassState, ScheduledRequest
-from .const import MAX_WAITING, MIN_RATE_SHARE
+from .const import MAX_WAITING, MIN_RATE_SHARE, MIN_REMAINING_SHARE
 from .limit import ColdEvidence, ConcurrencyLimit
 from .messages import ClassFigures, Decision, Prediction, WorkResult
 from .order import WorkOrder
@@ -77,7 +78,7 @@
         state = self._state(request)
         state.waiting.append(request)
         self._start_next()
-        if request.permit is not None:
+        if request not in state.waiting:
             return
         if self.waiting > MAX_WAITING or not self.predict(request).is_in_time:
             self.refuse(request)
@@ -127,15 +128,13 @@
     def predict(self, request: ScheduledRequest) -> Prediction:
         """Predict the wait of a request in the queue.
 
-        It is the work that goes before it, over the part of the limit that
-        this class can count on. A class whose work takes longer than its
-        target, even alone, is held to its deadline instead.
+        A class whose work takes longer than its target, even alone, is held
+        to its deadline instead.
         """
         now = self._clock.monotonic()
         state = self._classes[request.request_class.name]
-        ahead = self._work_ahead(request, state, now)
-        wait = ahead / (self._limit.limit * self._rate_share(state, now))
-        end = now + wait + state.service_time
+        wait = self._predict_wait(request, state, now)
+        end = now + wait / self._rate_share(state, now) + state.service_time
         bound = min(request.target_deadline, request.deadline)
         if state.service_time >= request.request_class.within:
             bound = request.deadline
@@ -147,7 +146,7 @@
         kind = request.request_class
         state = self._classes.setdefault(kind.name, ClassState(kind, now))
         state.request_class = kind
-        state.seen_at = now
+        state.count_arrival(now)
         return state
 
     def _start_next(self) -> None:
@@ -181,19 +180,40 @@
                 self.take_evidence(ColdEvidence.SLOW)
                 return
 
-    def _work_ahead(
+    def _predict_wait(
         self, request: ScheduledRequest, state: ClassState, now: timedelta
     ) -> timedelta:
-        """Return the slot time of all work that goes before a request."""
+        """Predict when a slot is free after all work that goes before."""
+        free_at = self._slots_free_at(now)
+        for service_time in self._work_ahead(request, state, now):
+            heapq.heapreplace(free_at, free_at[0] + service_time)
+        return free_at[0]
+
+    def _slots_free_at(self, now: timedelta) -> list[timedelta]:
+        """Return in how long each slot of the limit is free, as a heap."""
+        remaining = sorted(self._remaining(request, now) for request in self._running)
+        limit = self._limit.limit
+        idle = [timedelta()] * max(0, limit - len(remaining))
+        return [*idle, *remaining][-limit:]
+
+    def _remaining(self, request: ScheduledRequest, now: timedelta) -> timedelta:
+        """Return how much longer a running request will take."""
+        service_time = self._classes[request.request_class.name].service_time
+        left = service_time - (now - request.started)
+        return max(left, service_time * MIN_REMAINING_SHARE)
+
+    def _work_ahead(
+        self, request: ScheduledRequest, state: ClassState, now: timedelta
+    ) -> list[timedelta]:
+        """Return the service times of the waiting work that goes before a request."""
         states = self._classes.values()
         own = self._order.precedence(state, states, now)
-        ahead = timedelta()
+        ahead = [state.service_time] * state.waiting.index(request)
         for other in states:
-            ahead += other.service_time * other.running / 2
-            if other is state:
-                ahead += other.service_time * state.waiting.index(request)
-            elif self._order.precedence(other, states, now) < own:
-                ahead += other.service_time * len(other.waiting)
+            if other is state or not other.waiting:
+                continue
+            if self._order.precedence(other, states, now) < own:
+                ahead += [other.service_time] * len(other.waiting)
         return ahead
 
     def _rate_share(self, state: ClassState, now: timedelta) -> float:
