Wait for what is not published yet, instead of giving up

Cause: a balancer passed over a service that its first configuration did not name and never listened for it; a companion exited when its backend server was not listed yet. Either order of starting and publishing is ordinary for operators. Ruled out: a retry by whoever starts the process, which would hide a wrong name. Before: a caller of a service published after the start got ConnectionError (the new test).

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -96,15 +96,27 @@
         """Return the control addresses of all balancers and companions."""
         return [place.control for place in [*self.balancers, *self.companions]]
 
+    @property
+    def program_names(self) -> list[str]:
+        """Return the names of all companions and balancers."""
+        return [place.name for place in [*self.companions, *self.balancers]]
+
     async def async_start(self) -> None:
         """Start every process: stand-ins first, then the real programs."""
-        await self._async_start_stand_ins()
+        await self.async_start_platform()
         await self.async_publish()
-        names = [place.name for place in [*self.companions, *self.balancers]]
-        for place in self.companions:
-            self._add_companion(place)
-        for place in self.balancers:
-            self._add_balancer(place)
+        await self.async_start_programs(self.program_names)
+
+    async def async_start_platform(self) -> None:
+        """Start the stand-ins; nothing is published yet."""
+        await self._async_start_stand_ins()
+        for companion in self.companions:
+            self._add_companion(companion)
+        for balancer in self.balancers:
+            self._add_balancer(balancer)
+
+    async def async_start_programs(self, names: Sequence[str]) -> None:
+        """Start these balancers and companions and wait until all serve."""
         await asyncio.gather(*(self.processes[name].async_start() for name in names))
 
     async def async_stop(self) -> None:
--- a/harness/tests/test_whole_path.py
+++ b/harness/tests/test_whole_path.py
@@ -1,5 +1,6 @@
 """The whole path with real processes on loopback."""
 
+import asyncio
 import tempfile
 import unittest
 from pathlib import Path
@@ -46,12 +47,30 @@
             answer = await caller.async_request("POST", "/uploads", b"x" * 200_000)
             self.assertEqual(answer.status, 200)
 
+    async def test_service_published_after_the_start(self) -> None:
+        """Processes that start before their service is published wait for it."""
+        services = self.fleet.document["services"]
+        withheld = services.pop()
+        desk = withheld["name"]
+        await self.fleet.async_start_platform()
+        await self.fleet.async_publish()
+        await self.fleet.async_start_programs(
+            [place.name for place in self.fleet.balancers]
+        )
+        names = [place.name for place in self.fleet.companions]
+        starting = asyncio.create_task(self.fleet.async_start_programs(names))
+        services.append(withheld)
+        await self.fleet.async_publish()
+        await starting
+        address = self.fleet.service_addresses[desk]
+        async with async_connect(address.host, address.port) as caller:
+            answer = await caller.async_request("GET", "/archive?bytes=1000")
+            self.assertEqual(answer.status, 200)
+
     async def test_wrong_settings_are_refused(self) -> None:
         """A wrong key in the settings stops the process with the remedy."""
-        await self.fleet._async_start_stand_ins()
-        await self.fleet.async_publish()
+        await self.fleet.async_start_platform()
         place = self.fleet.balancers[0]
-        self.fleet._add_balancer(place)
         path = self.directory / f"{place.name}.yaml"
         path.write_text(path.read_text().replace("fleet_key", "fleet_keys"))
         process = self.fleet.processes[place.name]
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -45,6 +45,7 @@
         self._fleet_socket = FleetSocket(
             self._encapsulation, self._metrics.meter("returns")
         )
+        self._waiting: set[asyncio.Task[None]] = set()
         self._control = ControlServer(
             process.control,
             [
@@ -89,20 +90,22 @@
             lambda: self._fleet_socket,
             local_addr=self._settings.process.packets.socket_address,
         )
+        in_force = await self._coordinator.async_wait_first()
         for listen in self._settings.listen:
-            await self._async_listen_for_service(listen)
+            if in_force.service(listen.service) is not None:
+                await self._async_listen_for_service(listen)
+                continue
+            task = asyncio.create_task(self._async_listen_later(listen))
+            self._waiting.add(task)
+            task.add_done_callback(self._waiting.discard)
 
     async def _async_listen_for_service(self, listen: ListenAddress) -> None:
-        """Open the socket of one service."""
-        assert self._coordinator.current is not None
-        service = self._coordinator.current.service(listen.service)
-        if service is None:
-            _LOGGER.error(
-                "Service %r is not in the configuration; not listening at %s",
-                listen.service,
-                listen.address,
-            )
-            return
+        """Open the socket of one service once the service is published."""
+        configuration = await self._coordinator.async_wait_until(
+            lambda current: current.service(listen.service) is not None
+        )
+        service = configuration.service(listen.service)
+        assert service is not None
         socket = ServiceSocket(
             service.number,
             self._settings.process.packets,
@@ -117,6 +120,16 @@
         )
         self._fleet_socket.add_service(service.number, socket)
 
+    async def _async_listen_later(self, listen: ListenAddress) -> None:
+        """Wait for a service that is not in the configuration in force."""
+        _LOGGER.warning(
+            "Service %r is not in the configuration; listening at %s starts when "
+            "it is published. Check the name in the settings",
+            listen.service,
+            listen.address,
+        )
+        await self._async_listen_for_service(listen)
+
 
 async def async_run_balancer(settings: BalancerSettings, stop: asyncio.Event) -> None:
     """Run a balancer on the system's clock until ``stop`` is set."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -81,7 +81,7 @@
         async with aiohttp.ClientSession(auto_decompress=False) as session:
             source = ServiceSource(process.configuration_service, session)
             following = asyncio.create_task(self._coordinator.async_follow(source))
-            configuration = await self._coordinator.async_wait_first()
+            configuration = await self._async_wait_listed()
             await self._async_open_edge(configuration, session)
             announce_ready(process.name)
             await stop.wait()
@@ -92,6 +92,21 @@
         await self._control.async_stop()
         await self._metrics.async_stop()
 
+    async def _async_wait_listed(self) -> Configuration:
+        """Wait until the configuration lists the backend server beside us."""
+        name, service = self._settings.process.name, self._settings.service
+        configuration = await self._coordinator.async_wait_first()
+        if not _is_listed(configuration, service, name):
+            _LOGGER.warning(
+                "Backend server %r is not listed under service %r; waiting until "
+                "it is published. Check name and service in the settings",
+                name,
+                service,
+            )
+        return await self._coordinator.async_wait_until(
+            lambda current: _is_listed(current, service, name)
+        )
+
     async def _async_open_edge(
         self, configuration: Configuration, session: aiohttp.ClientSession
     ) -> None:
@@ -99,12 +114,9 @@
         process = self._settings.process
         service = configuration.service(self._settings.service)
         server = _own_server(service, process.name)
-        if service is None or server is None:
-            raise SystemExit(
-                f"backend server {process.name!r} is not listed under service "
-                f"{self._settings.service!r}; publish it or mend the settings"
-            )
         zone = configuration.zone(process.zone)
+        assert service is not None
+        assert server is not None
         assert zone is not None
         packet_socket = PacketSocket(
             service.number,
@@ -162,6 +174,11 @@
         return {"flows": float(flows)}
 
 
+def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
+    """Tell whether a service lists a backend server of that name."""
+    return _own_server(configuration.service(service), name) is not None
+
+
 def _own_server(service: Service | None, name: str) -> BackendServer | None:
     """Return the backend server of that name in a service."""
     if service is None:
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
@@ -66,6 +66,18 @@
         assert self._current is not None
         return self._current
 
+    async def async_wait_until(
+        self, holds: Callable[[Configuration], bool]
+    ) -> Configuration:
+        """Wait until the configuration in force fulfils a condition."""
+        changed = asyncio.Event()
+        self.add_listener(lambda _: changed.set())
+        while True:
+            if self._current is not None and holds(self._current):
+                return self._current
+            changed.clear()
+            await changed.wait()
+
     def offer(self, document: Document, source: str) -> bool:
         """Check a document and adopt it if its version is higher."""
         if document.version <= self.version:
