Operators' commands: status, zone, backend, time line and explain

Cause: operators had only check and a time line sorted by each process's own wall clock, which a wrong clock puts out of order. Every command is a class with its arguments, examples and exit codes in its help. Orders edit the document in place: PyYAML tells where a value stands and only those characters change, so comments, order and layout stay; the outcome is parsed again and refused if it differs from what was asked for. Ruled out: load and dump (loses comments and layout) and regular expressions (blind to nesting). The time line estimates each process's clocks from the exchange with the shortest round trip and orders by the monotonic clock, so a stepped wall clock plays no part; a cause always precedes its effect. Events about single flows and requests have a ring of their own, which they can fill without displacing what explains them, and identifiers name the start of the process, so a restarted one can't be taken for its predecessor. The page takes every text as text and loads nothing. Tests first failed: a time line ordered by wall clocks put the events of a clock that is fast by 3 s last; with script_data as plain JSON a hostile detail ended the script element.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/__init__.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/__init__.py
@@ -1,6 +1,24 @@
 """The commands that operators run."""
 
-from .check import run_check
-from .timeline import run_timeline
+from typing import Final
 
-__all__ = ["run_check", "run_timeline"]
+from pomelotrail_core.command_line import Command
+
+from .check import CheckCommand
+from .explain import ExplainCommand
+from .order import BackendCommand, ZoneCommand
+from .run_balancer import BalancerCommand
+from .status import StatusCommand
+from .timeline import TimelineCommand
+
+COMMANDS: Final[tuple[Command, ...]] = (
+    BalancerCommand(),
+    CheckCommand(),
+    StatusCommand(),
+    ZoneCommand(),
+    BackendCommand(),
+    TimelineCommand(),
+    ExplainCommand(),
+)
+
+__all__ = ["COMMANDS"]
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/const.py
@@ -1,9 +1,11 @@
-"""Exit codes and limits of the command line."""
+"""Limits and formats of the operators' commands."""
 
 from datetime import timedelta
 from typing import Final
 
-EXIT_OK: Final = 0
-EXIT_FAILED: Final = 1
-EXIT_USAGE: Final = 2
-PROCESS_TIMEOUT: Final = timedelta(seconds=3)
+STATUS_TIMEOUT: Final = timedelta(seconds=3)
+ASKED_AT_ONCE: Final = 64
+FORMAT_TEXT: Final = "text"
+FORMAT_TABLE: Final = "table"
+FORMAT_JSON: Final = "json"
+FORMAT_HTML: Final = "html"
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/explain.py
@@ -0,0 +1,47 @@
+"""``pomelotrail explain``: the story of one request or flow."""
+
+import argparse
+
+from result import Err, Ok
+
+from pomelotrail_core.command_line import EXIT_FAILED, Command
+
+from .gathering import add_gathering_arguments, gather, print_error
+from .story import find_subject, tell
+
+
+class ExplainCommand(Command):
+    """Tells what became of a request or flow, and why."""
+
+    name = "explain"
+    summary = "tell what became of a request or flow, and why"
+    examples = (
+        "pomelotrail explain 9f2c66a1d0b34e75-4 --document document.yaml\n"
+        "pomelotrail explain 9f2c66a1 192.0.2.7:7001 192.0.2.8:7001"
+    )
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the arguments."""
+        parser.add_argument(
+            "subject",
+            metavar="REQUEST|FLOW",
+            help="name from the time line; the first characters are enough",
+        )
+        add_gathering_arguments(parser)
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Gather the events and tell the story."""
+        match gather(arguments):
+            case Err(error):
+                print_error(error)
+                return EXIT_FAILED
+            case Ok(gathered):
+                pass
+        match find_subject(gathered.timeline, arguments.subject):
+            case Err(error):
+                print_error(error)
+                gathered.report()
+                return EXIT_FAILED
+            case Ok(subject):
+                print("\n".join(tell(gathered.timeline, subject)))
+                return gathered.report()
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/builders.py
@@ -0,0 +1,132 @@
+"""Builders of documents, command lines and answering processes."""
+
+import asyncio
+import contextlib
+import io
+import threading
+from collections.abc import Iterator
+from datetime import datetime, timedelta
+from unittest import mock
+
+import attrs
+
+from harness.fleet import PortReserver
+from pomelotrail_balancer.main import main
+from pomelotrail_core.clock import Clock, SystemClock
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.peers import ControlServer
+from pomelotrail_core.peers.status import StatusService
+from pomelotrail_core.timeline import Recorder
+from pomelotrail_core.timeline.service import TimelineService
+
+COMMENTED_DOCUMENT = """\
+# Kesar Tidewater, reviewed every Monday
+version: 12   # raised by the tool
+zones:
+  - {name: veraval, number: 1}  # the harbour
+  - name: porbandar
+    number: 2   # two racks
+  - {name: jafrabad, number: 3, out: false}
+services:
+  - name: stock-ledger
+    number: 1
+    classes:
+      - {name: read-board, method: GET, path: /board,
+         target: {within: 300 ms, share: 0.99}}
+    backend_servers:
+      - name: ledger-1   # the old one
+        zone: veraval
+        packets: 192.0.2.1:7000
+        control: 192.0.2.1:7001
+        slots: 5
+        connections: 2000
+
+      - {name: ledger-2, zone: porbandar, packets: "192.0.2.2:7000",
+         control: "192.0.2.2:7001", slots: 5, connections: 2000}
+"""
+
+
+@attrs.frozen
+class CommandOutcome:
+    """What a command printed, and its exit code."""
+
+    code: int
+    output: str
+    errors: str
+
+
+def run_command(*arguments: str, standard_input: str = "") -> CommandOutcome:
+    """Run ``pomelotrail`` with these arguments in this process."""
+    output, errors = io.StringIO(), io.StringIO()
+    with (
+        contextlib.redirect_stdout(output),
+        contextlib.redirect_stderr(errors),
+        mock.patch("sys.stdin", io.StringIO(standard_input)),
+    ):
+        try:
+            main(arguments)
+            code = 0
+        except SystemExit as exit_request:
+            code = int(exit_request.code or 0)
+    return CommandOutcome(code, output.getvalue(), errors.getvalue())
+
+
+class SkewedClock(SystemClock):
+    """The clock of a machine whose wall clock is wrong."""
+
+    def __init__(self, skew: timedelta) -> None:
+        """Show the true time plus ``skew``."""
+        self._skew = skew
+        self._passed = timedelta()
+
+    def jump(self, by: timedelta) -> None:
+        """Let time pass, so that what was recorded is that much older."""
+        self._passed += by
+
+    def now(self) -> datetime:
+        """Return the wrong time."""
+        return super().now() + self._skew + self._passed
+
+    def monotonic(self) -> timedelta:
+        """Return the monotonic time, with the time that was let pass."""
+        return super().monotonic() + self._passed
+
+
+@attrs.frozen
+class AnsweringProcess:
+    """A process that answers at its control address."""
+
+    endpoint: Endpoint
+    recorder: Recorder
+
+
+@contextlib.contextmanager
+def answering_process(
+    name: str, clock: Clock | None = None, zone: str = "veraval"
+) -> Iterator[AnsweringProcess]:
+    """Serve status and time line of a process from a thread of its own."""
+    endpoint = PortReserver().reserve()
+    recorder = Recorder(name, zone, clock or SystemClock())
+    started, stop = threading.Event(), asyncio.Event()
+    loop = asyncio.new_event_loop()
+
+    async def async_serve() -> None:
+        """Serve until the test has ended."""
+        status = StatusService(
+            name, zone, "companion", lambda: 12, lambda: {"flows": 3}
+        )
+        server = ControlServer(endpoint, [TimelineService(recorder), status])
+        await server.async_start()
+        started.set()
+        await stop.wait()
+        await server.async_stop()
+
+    thread = threading.Thread(target=loop.run_until_complete, args=(async_serve(),))
+    thread.start()
+    started.wait()
+    try:
+        yield AnsweringProcess(endpoint, recorder)
+    finally:
+        loop.call_soon_threadsafe(stop.set)
+        thread.join()
+        loop.close()
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline.py
@@ -1,50 +1,108 @@
 """``pomelotrail timeline``: merges the events of several processes."""
 
-import asyncio
+import argparse
+import json
 import sys
 from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
 
 from result import Err, Ok
 
-from pomelotrail_core.endpoint import Endpoint
-from pomelotrail_core.timeline import Event
-from pomelotrail_core.timeline.client import async_read_events
+from pomelotrail_core.command_line import EXIT_FAILED, Command
+from pomelotrail_core.timeline import MergedEvent
 
-from .const import EXIT_FAILED, EXIT_OK, PROCESS_TIMEOUT
+from .const import FORMAT_HTML, FORMAT_JSON, FORMAT_TEXT
+from .gathering import Gathered, add_gathering_arguments, gather, print_error
+from .selection import Selection
+from .timeline_page import render_page
+from .timeline_text import event_line, process_line
 
 
-def run_timeline(endpoints: Sequence[Endpoint]) -> int:
-    """Print the merged events of the processes at these control addresses."""
-    return asyncio.run(_async_timeline(endpoints))
+class TimelineCommand(Command):
+    """Shows what happened, over all processes, in one order."""
 
-
-async def _async_timeline(endpoints: Sequence[Endpoint]) -> int:
-    """Read all processes at once and print what they recorded."""
-    answers = await asyncio.gather(
-        *(async_read_events(endpoint, PROCESS_TIMEOUT) for endpoint in endpoints)
+    name = "timeline"
+    summary = "show the events of processes in one order"
+    examples = (
+        "pomelotrail timeline 192.0.2.7:7001 192.0.2.8:7001\n"
+        "pomelotrail timeline --document document.yaml --last 5min\n"
+        "pomelotrail timeline --document document.yaml --zone veraval\n"
+        "pomelotrail timeline --document document.yaml --format html "
+        "--output timeline.html"
     )
-    events: list[Event] = []
-    exit_code = EXIT_OK
-    for answer in answers:
-        match answer:
-            case Ok(some):
-                events.extend(some)
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the arguments."""
+        add_gathering_arguments(parser)
+        parser.add_argument("--flow", default="", help="only events of this flow")
+        parser.add_argument("--request", default="", help="only events of this request")
+        parser.add_argument("--zone", default="", help="only this availability zone")
+        parser.add_argument(
+            "--format",
+            choices=[FORMAT_TEXT, FORMAT_JSON, FORMAT_HTML],
+            default=FORMAT_TEXT,
+        )
+        parser.add_argument(
+            "--output", type=Path, metavar="FILE", help="write to this file"
+        )
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Gather, merge and show the events."""
+        match gather(arguments):
             case Err(error):
-                print(error, file=sys.stderr)
-                exit_code = EXIT_FAILED
-    for event in sorted(events, key=lambda event: event.at):
-        print(_format(event))
-    return exit_code
-
-
-def _format(event: Event) -> str:
-    """Return one line of text."""
-    subject = event.request or event.flow
-    parts = [
-        event.at.strftime("%H:%M:%S.%f"),
-        f"{event.zone}/{event.process}".ljust(24),
-        event.kind.value,
-        subject,
-        event.detail,
-    ]
-    return "  ".join(part for part in parts if part)
+                print_error(error)
+                return EXIT_FAILED
+            case Ok(gathered):
+                pass
+        selection = Selection(arguments.flow, arguments.request, arguments.zone)
+        entries = selection.choose(gathered.timeline)
+        text = _render(arguments.format, gathered, entries)
+        if not _write(text, arguments.output):
+            return EXIT_FAILED
+        return gathered.report()
+
+
+def _render(form: str, gathered: Gathered, entries: Sequence[MergedEvent]) -> str:
+    """Return the time line in the wanted form."""
+    if form == FORMAT_HTML:
+        return render_page(gathered, entries)
+    if form == FORMAT_JSON:
+        return "".join(json.dumps(_data(entry)) + "\n" for entry in entries)
+    lines = [process_line(process) for process in gathered.timeline.processes]
+    lines += [f"# {name}  gave no answer" for name in gathered.silent_names]
+    lines += [event_line(entry) for entry in entries]
+    return "".join(f"{line}\n" for line in lines)
+
+
+def _data(entry: MergedEvent) -> dict[str, Any]:
+    """Return an entry as JSON data."""
+    event = entry.event
+    return {
+        "at": entry.at.isoformat(),
+        "identifier": event.identifier,
+        "process": event.process,
+        "zone": event.zone,
+        "kind": event.kind.value,
+        "flow": event.flow,
+        "request": event.request,
+        "cause": event.cause,
+        "detail": event.detail,
+    }
+
+
+def _write(text: str, output: Path | None) -> bool:
+    """Print the text, or write it to a file; tell whether that was possible."""
+    if output is None:
+        sys.stdout.write(text)
+        return True
+    try:
+        output.write_text(text)
+    except OSError as error:
+        print(
+            f"{output}: can't be written ({error.strerror}); "
+            "give --output a path that can be written",
+            file=sys.stderr,
+        )
+        return False
+    return True
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline_page.py
@@ -0,0 +1,71 @@
+"""The time line as one self-contained HTML page."""
+
+import html
+import json
+from collections.abc import Sequence
+from importlib import resources
+from typing import Any, Final
+
+from pomelotrail_core.timeline import MergedEvent, ProcessEvents
+
+from .gathering import Gathered
+from .timeline_text import clock_text
+
+_TEMPLATE: Final = "timeline.html"
+_DATA_MARK: Final = "/*DATA*/null"
+_TITLE_MARK: Final = "<!--TITLE-->"
+
+
+def render_page(gathered: Gathered, entries: Sequence[MergedEvent]) -> str:
+    """Return the page; it loads nothing and writes texts as text only."""
+    template = resources.files(__package__).joinpath(_TEMPLATE).read_text()
+    title = f"pomelotrail: {len(entries)} events of {gathered.asked} processes"
+    data = {
+        "processes": [_process(each) for each in gathered.timeline.processes],
+        "silent": gathered.silent_names,
+        "events": [_event(entry) for entry in entries],
+    }
+    page = template.replace(_TITLE_MARK, html.escape(title))
+    return page.replace(_DATA_MARK, script_data(data))
+
+
+def script_data(data: Any) -> str:
+    """Return data for a script element, with nothing that could end it.
+
+    JSON escapes quotes only; ``</script>`` or ``<!--`` in a text would end the
+    element or hide what follows::
+
+        script_data("</script>")  # '"\\\\u003c/script\\\\u003e"'
+    """
+    text = json.dumps(data, ensure_ascii=True, separators=(",", ":"))
+    for each in "<>&":
+        text = text.replace(each, f"\\u{ord(each):04x}")
+    return text
+
+
+def _process(process: ProcessEvents) -> dict[str, Any]:
+    """Return what the page shows of a process."""
+    return {
+        "name": process.process,
+        "zone": process.zone,
+        "address": str(process.endpoint),
+        "clock": clock_text(process.clock),
+        "lost": process.lost,
+    }
+
+
+def _event(entry: MergedEvent) -> dict[str, Any]:
+    """Return what the page shows of an event."""
+    event = entry.event
+    return {
+        "id": event.identifier,
+        "at": entry.at.timestamp(),
+        "time": entry.at.strftime("%H:%M:%S.%f"),
+        "process": event.process,
+        "zone": event.zone,
+        "kind": event.kind.value,
+        "flow": event.flow,
+        "request": event.request,
+        "cause": event.cause,
+        "detail": event.detail,
+    }
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline_text.py
@@ -0,0 +1,53 @@
+"""The time line as lines of text."""
+
+from datetime import timedelta
+
+from pomelotrail_core.timeline import ClockEstimate, MergedEvent, ProcessEvents
+
+_MILLISECOND = timedelta(milliseconds=1)
+_PROCESS_COLUMNS = 28
+_KIND_COLUMNS = 22
+
+
+def process_line(process: ProcessEvents) -> str:
+    """Describe a process: its clocks, and how many events it kept."""
+    lost = f", {process.lost} older ones gone" if process.lost else ""
+    return (
+        f"# {process.process}  {process.zone}  {process.endpoint}  "
+        f"{clock_text(process.clock)}  {len(process.events)} events{lost}"
+    )
+
+
+def clock_text(estimate: ClockEstimate) -> str:
+    """Return the offset of a clock and its bound, in milliseconds."""
+    offset = estimate.offset / _MILLISECOND
+    bound = estimate.uncertainty / _MILLISECOND
+    return f"clock {offset:+.1f} ms (±{bound:.1f} ms)"
+
+
+def event_line(entry: MergedEvent) -> str:
+    """Return one event; characters that a terminal would obey are escaped."""
+    event = entry.event
+    subject = event.request or event.flow
+    parts = [
+        time_text(entry),
+        plain(f"{event.zone}/{event.process}").ljust(_PROCESS_COLUMNS),
+        event.kind.value.ljust(_KIND_COLUMNS),
+        plain(subject),
+        plain(event.detail),
+        f"because of {plain(event.cause)}" if event.cause else "",
+    ]
+    return "  ".join(part for part in parts if part).rstrip()
+
+
+def time_text(entry: MergedEvent) -> str:
+    """Return the corrected time of an event."""
+    return entry.at.strftime("%H:%M:%S.%f")
+
+
+def plain(text: str) -> str:
+    """Escape control characters, which could move the cursor or hide text."""
+    return "".join(
+        each if each.isprintable() else each.encode("unicode_escape").decode()
+        for each in text
+    )
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/command.py
@@ -0,0 +1,49 @@
+"""One command of a program."""
+
+import abc
+import argparse
+
+from .const import EXIT_CODES_HELP
+
+
+class Command(abc.ABC):
+    """A command with its arguments; a program is made of several."""
+
+    @property
+    @abc.abstractmethod
+    def name(self) -> str:
+        """Return the word that selects the command."""
+
+    @property
+    @abc.abstractmethod
+    def summary(self) -> str:
+        """Return one line for the list of commands."""
+
+    @property
+    @abc.abstractmethod
+    def examples(self) -> str:
+        """Return examples for the help text, one a line."""
+
+    @abc.abstractmethod
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the arguments."""
+
+    @abc.abstractmethod
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Run the command and return its exit code."""
+
+    def register(self, commands: "argparse._SubParsersAction") -> None:
+        """Add the command to those of a program."""
+        parser = commands.add_parser(
+            self.name,
+            help=self.summary,
+            description=f"{self.summary[0].upper()}{self.summary[1:]}.",
+            epilog=f"examples:\n{self._indented_examples()}\n\n{EXIT_CODES_HELP}",
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        self.add_arguments(parser)
+        parser.set_defaults(run=self.run)
+
+    def _indented_examples(self) -> str:
+        """Return the examples as they stand in the help text."""
+        return "\n".join(f"  {line}" for line in self.examples.splitlines())
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
@@ -0,0 +1,36 @@
+"""Runs the command that the arguments name."""
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+
+from .command import Command
+from .const import EXIT_CODES_HELP, EXIT_OK
+
+
+def run_command_line(
+    program: str,
+    description: str,
+    commands: Sequence[Command],
+    arguments: Sequence[str] | None = None,
+) -> int:
+    """Parse the arguments, run their command and return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog=program,
+        description=description,
+        epilog=EXIT_CODES_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    chosen = parser.add_subparsers(required=True, metavar="COMMAND")
+    for command in commands:
+        command.register(chosen)
+    parsed = parser.parse_args(arguments)
+    try:
+        code = parsed.run(parsed)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Whoever read the output, such as head, has seen enough.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_OK
+    return code
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the frame of the command lines."""
--- a/packages/pomelotrail-core/pomelotrail_core/timeline/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/timeline/const.py
@@ -1,5 +1,10 @@
 """Constants of the time line."""
 
+from datetime import timedelta
 from typing import Final
 
-RING_EVENTS: Final = 20_000
+SUBJECT_RING_EVENTS: Final = 20_000
+STATE_RING_EVENTS: Final = 2_000
+CLOCK_EXCHANGES: Final = 5
+GATHERED_AT_ONCE: Final = 64
+GATHER_TIMEOUT: Final = timedelta(seconds=3)
--- a/packages/pomelotrail-core/pomelotrail_core/timeline/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/timeline/messages.py
@@ -33,14 +33,22 @@
     ZONE_BACK = "zone back"
     DRAINING = "draining"
     WOKE_LATE = "woke late"
+    OTHER = "other"
+
+    @property
+    def is_per_subject(self) -> bool:
+        """Tell whether the event is about one flow, request or packet."""
+        return self.name.partition("_")[0] in ("FLOW", "PACKET", "REQUEST", "TICKET")
 
 
 @attrs.frozen
 class Event:
     """One event of one process.
 
-    ``sequence`` counts the events of the process; ``cause`` is the identifier
-    of the event that led to this one, as ``process/sequence``, or empty.
+    ``incarnation`` names the start of the process, and ``sequence`` counts the
+    events since then; ``cause`` is the identifier of the event that led to this
+    one, or empty. ``OTHER`` is the kind of an event that a newer program
+    recorded; its detail starts with the name that is not known here.
     """
 
     process: str
@@ -53,8 +61,10 @@
     request: str = ""
     cause: str = ""
     detail: str = ""
+    incarnation: str = ""
 
     @property
     def identifier(self) -> str:
         """Return the name by which other events refer to this one."""
-        return f"{self.process}/{self.sequence}"
+        start = f"@{self.incarnation}" if self.incarnation else ""
+        return f"{self.process}{start}/{self.sequence}"
--- a/packages/pomelotrail-core/pomelotrail_core/timeline/recorder.py
+++ b/packages/pomelotrail-core/pomelotrail_core/timeline/recorder.py
@@ -1,24 +1,46 @@
-"""The bounded ring of events of this process."""
+"""The bounded rings of events of this process."""
 
+import heapq
 from collections import deque
 
 from pomelotrail_core.clock import Clock
 
-from .const import RING_EVENTS
+from .const import STATE_RING_EVENTS, SUBJECT_RING_EVENTS
 from .messages import Event, EventKind
 
 
 class Recorder:
-    """Keeps the latest events; the oldest give way when the ring is full."""
+    """Keeps the latest events; the oldest give way when a ring is full.
+
+    Events about single flows and requests have a ring of their own, so that
+    many of them never displace the rare events that explain them::
+
+        cold = recorder.record(EventKind.BACKEND_SERVER_COLD, detail="two sheds")
+        recorder.record(EventKind.LIMIT_CHANGED, cause=cold, detail="5 to 1")
+
+    A part that did not record the cause itself can name the latest event of
+    its kind::
+
+        cause = recorder.latest(EventKind.LIMIT_CHANGED)
+        recorder.record(EventKind.REQUEST_REFUSED, request="r", cause=cause)
+    """
 
     def __init__(
-        self, process: str, zone: str, clock: Clock, size: int = RING_EVENTS
+        self,
+        process: str,
+        zone: str,
+        clock: Clock,
+        size: int = SUBJECT_RING_EVENTS,
+        state_size: int = STATE_RING_EVENTS,
     ) -> None:
         """Record for the process of that name."""
         self._process = process
         self._zone = zone
         self._clock = clock
-        self._events: deque[Event] = deque(maxlen=size)
+        self._incarnation = format(int(clock.now().timestamp() * 1000), "x")
+        self._of_subjects: deque[Event] = deque(maxlen=size)
+        self._of_state: deque[Event] = deque(maxlen=state_size)
+        self._latest: dict[EventKind, str] = {}
         self._sequence = 0
 
     @property
@@ -26,15 +48,31 @@
         """Return the name of the process."""
         return self._process
 
+    @property
+    def zone(self) -> str:
+        """Return the availability zone of the process."""
+        return self._zone
+
+    @property
+    def clock(self) -> Clock:
+        """Return the clock that stamps the events."""
+        return self._clock
+
     @property
     def events(self) -> tuple[Event, ...]:
         """Return the kept events, oldest first."""
-        return tuple(self._events)
+        rings = (self._of_subjects, self._of_state)
+        return tuple(heapq.merge(*rings, key=lambda event: event.sequence))
 
     @property
     def lost(self) -> int:
         """Return how many events have given way."""
-        return self._sequence - len(self._events)
+        return self._sequence - len(self._of_subjects) - len(self._of_state)
+
+    def latest(self, *kinds: EventKind) -> str:
+        """Return the identifier of the latest event of these kinds, or empty."""
+        found = [self._latest[kind] for kind in kinds if kind in self._latest]
+        return max(found, key=_sequence, default="")
 
     def record(
         self,
@@ -58,6 +96,15 @@
             request=request,
             cause=cause,
             detail=detail,
+            incarnation=self._incarnation,
         )
-        self._events.append(event)
-        return event.identifier
+        ring = self._of_subjects if kind.is_per_subject else self._of_state
+        ring.append(event)
+        identifier = event.identifier
+        self._latest[kind] = identifier
+        return identifier
+
+
+def _sequence(identifier: str) -> int:
+    """Return the sequence number in an identifier."""
+    return int(identifier.rpartition("/")[2])
--- a/packages/pomelotrail-core/pomelotrail_core/timeline/timeline_grpc.py
+++ b/packages/pomelotrail-core/pomelotrail_core/timeline/timeline_grpc.py
@@ -18,6 +18,10 @@
     async def Read(self, stream: 'grpclib.server.Stream[pomelotrail_core.timeline.timeline_pb2.ReadRequest, pomelotrail_core.timeline.timeline_pb2.EventMessage]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Now(self, stream: 'grpclib.server.Stream[pomelotrail_core.timeline.timeline_pb2.NowRequest, pomelotrail_core.timeline.timeline_pb2.NowReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/pomelotrail.timeline.Timeline/Read': grpclib.const.Handler(
@@ -26,6 +30,12 @@
                 pomelotrail_core.timeline.timeline_pb2.ReadRequest,
                 pomelotrail_core.timeline.timeline_pb2.EventMessage,
             ),
+            '/pomelotrail.timeline.Timeline/Now': grpclib.const.Handler(
+                self.Now,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pomelotrail_core.timeline.timeline_pb2.NowRequest,
+                pomelotrail_core.timeline.timeline_pb2.NowReply,
+            ),
         }
 
 
@@ -38,3 +48,9 @@
             pomelotrail_core.timeline.timeline_pb2.ReadRequest,
             pomelotrail_core.timeline.timeline_pb2.EventMessage,
         )
+        self.Now = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pomelotrail.timeline.Timeline/Now',
+            pomelotrail_core.timeline.timeline_pb2.NowRequest,
+            pomelotrail_core.timeline.timeline_pb2.NowReply,
+        )
