--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/document_editor.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/document_editor.py
@@ -151,7 +151,7 @@
 
 def _compose(text: str) -> Node | None:
     """Return the nodes of a document with their places."""
-    return yaml.compose(text, Loader=yaml.SafeLoader)
+    return yaml.compose(text, Loader=yaml.CSafeLoader)
 
 
 def _child(node: Node | None, key: str) -> Node | None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/run_balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/run_balancer.py
@@ -31,6 +31,6 @@
                 print(error, file=sys.stderr)
                 return EXIT_USAGE
             case Ok(settings):
-                set_up_logs(settings.process.log_level)
+                set_up_logs(settings.process.log_level, settings.process.log_format)
                 run_process(lambda stop: async_run_balancer(settings, stop))
                 return EXIT_OK
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/builders.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/builders.py
@@ -20,7 +20,7 @@
 from pomelotrail_core.timeline.service import TimelineService
 
 COMMENTED_DOCUMENT = """\
-# Kesar Tidewater, reviewed every Monday
+# Kesar Tidewater · કેસર 🦞, reviewed every Monday
 version: 12   # raised by the tool
 zones:
   - {name: veraval, number: 1}  # the harbour
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/commands/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the commands of the companion."""
--- a/packages/pomelotrail-core/pomelotrail_core/settings/process_settings.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/process_settings.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.logs import JSON_LOGS, TEXT_LOGS
 from pomelotrail_core.routing.const import (
     FLEET_KEY_BYTES,
     MAX_KEY_GENERATION,
@@ -39,6 +40,7 @@
     vol.Optional("log_level", default="info"): vol.In(
         ["debug", "info", "warning", "error"]
     ),
+    vol.Optional("log_format", default=TEXT_LOGS): vol.In([TEXT_LOGS, JSON_LOGS]),
 }
 
 
@@ -59,6 +61,7 @@
     fleet_key: bytes = attrs.field(repr=False)
     token_keys: TokenKeys = attrs.field(repr=False)
     log_level: str
+    log_format: str = TEXT_LOGS
 
 
 def read_settings(
@@ -85,4 +88,5 @@
         fleet_key=document["fleet_key"],
         token_keys=TokenKeys(document["token_keys"][0]["generation"], keys),
         log_level=document["log_level"],
+        log_format=document["log_format"],
     )
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules that every slice uses."""
