An interface to relay requests to another companion

Cause: a leaving companion has to hand new requests on its old flows to another one, and the slice that drains must not know how that is done. Ruled out: a function in the draining slice, which would tie it to the ledger's messages.

--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/__init__.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/__init__.py
@@ -4,6 +4,7 @@
 from .handler import RequestHandler
 from .messages import Answer, Header, Request
 from .refusals import Outcome, Refusal, refuse
+from .relay import RequestRelay
 
 __all__ = [
     "Answer",
@@ -13,5 +14,6 @@
     "Refusal",
     "Request",
     "RequestHandler",
+    "RequestRelay",
     "refuse",
 ]
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/relay.py
@@ -0,0 +1,24 @@
+"""The interface by which a companion hands a new request to another one."""
+
+import abc
+
+from .messages import Answer, Request
+
+
+class RequestRelay(abc.ABC):
+    """Runs requests at another companion of the same service.
+
+    A leaving companion uses it for new requests on its old flows::
+
+        if not draining.takes_new_flows:
+            return await relay.async_relay(request)
+    """
+
+    @abc.abstractmethod
+    async def async_relay(self, request: Request) -> Answer:
+        """Return the answer of another companion to a request of a known class.
+
+        The request must have passed the dispatcher (class and deadline are
+        set) and its body must not have been read. The answer is whole or its
+        body raises; when no companion can be reached it is a refusal.
+        """
