A backend client that sends once and takes only whole answers

Cause: the HTTP library repeats a request after a lost connection, follows redirects, shares cookies between callers and passes on answers of other requests; a request identifier sent by a caller reached the server beside ours. Refusals said not-run wherever a step claimed so. Now confirm() in the last step lets not-run out only with a proof: nothing sent, the documented shed answer, a fenced ticket, or the word of the only executor. Ruled out: the library's private switch against repeats (a middleware does it in public); one connection pool for all (a kept connection that closes in the moment of use leaves the outcome of a run-once request unknown, so those get a connection each).

First seen to fail: without the middleware the test of lost connections; with redirects followed theirs; without the comparison of request identifiers the test of crossed answers; without contact.begin() three tests of truthful outcomes.

--- a/packages/pomelotrail-companion/pomelotrail_companion/backend/client.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/backend/client.py
@@ -1,11 +1,15 @@
 """The HTTP/1.1 client towards the backend server."""
 
+import asyncio
 from collections.abc import AsyncIterator
+from datetime import timedelta
 
 import aiohttp
+from yarl import URL
 
 from pomelotrail_companion.requests import (
     Answer,
+    AnswerBroken,
     Header,
     Outcome,
     Refusal,
@@ -13,73 +17,180 @@
     RequestHandler,
     refuse,
 )
+from pomelotrail_companion.requests.proof import prove_by_contact
 from pomelotrail_companion.requests.refusals import RefusalKind
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.endpoint import Endpoint
 
 from .const import (
+    AUTOMATIC_HEADERS,
     CONNECT_TIMEOUT,
-    DEADLINE_HEADER,
-    HOP_HEADERS,
+    NO_BODY_STATUSES,
     PIECE_BYTES,
     REQUEST_ID_HEADER,
+    RUN_ONCE_GRACE,
+    SHED_HEADER,
+    SHED_RETRY_AFTER,
+    SHED_STATUS,
 )
+from .headers import answer_headers, request_headers
+
+_ZERO = timedelta()
+
+
+class _SentBody:
+    """The body on its way to the backend server; keeps why it broke off."""
+
+    def __init__(self, body: AsyncIterator[bytes]) -> None:
+        """Send ``body``."""
+        self._body = body
+        self.failure: Exception | None = None
+
+    async def async_read(self) -> AsyncIterator[bytes]:
+        """Yield the pieces."""
+        try:
+            async for piece in self._body:
+                yield piece
+        except Exception as error:
+            self.failure = error
+            raise
 
 
 class BackendClient(RequestHandler):
     """The last step of a request: the backend server runs it."""
 
     def __init__(
-        self, backend_server: Endpoint, session: aiohttp.ClientSession, clock: Clock
+        self,
+        backend_server: Endpoint,
+        session: aiohttp.ClientSession,
+        clock: Clock,
+        run_once_session: aiohttp.ClientSession | None = None,
     ) -> None:
-        """Send requests to the backend server at that address."""
+        """Send requests to the backend server at that address.
+
+        The sessions come from ``open_backend_session``.
+        """
         self._url = f"http://{backend_server}"
         self._session = session
+        self._run_once_session = run_once_session or session
         self._clock = clock
 
     async def async_handle(self, request: Request) -> Answer:
-        """Send a request and return the answer as it arrives."""
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
-        )
+        """Send a request and return the answer as it arrives, checked."""
+        body = _SentBody(request.body)
         try:
-            response = await self._session.request(
-                request.method,
-                self._url + request.path,
-                headers=self._headers(request),
-                data=None if request.method in ("GET", "HEAD") else request.body,
-                timeout=timeout,
-            )
-        except aiohttp.ClientConnectorError:
-            return refuse(Refusal(RefusalKind.BACKEND_FAILED, Outcome.NOT_RUN))
-        except (TimeoutError, aiohttp.ClientError):
-            return refuse(Refusal(RefusalKind.BACKEND_FAILED, Outcome.UNKNOWN))
-        headers = tuple(
-            Header(name.lower(), value)
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_HEADERS
+            async with asyncio.timeout(self._seconds_left(request)):
+                response = await self._async_send(request, body)
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            if body.failure is not None:
+                raise body.failure from error
+            return _refuse_failed(request, type(error).__name__)
+        return self._check(request, response)
+
+    async def _async_send(
+        self, request: Request, body: _SentBody
+    ) -> aiohttp.ClientResponse:
+        """Send a request and return the response with its head."""
+        is_run_once = request.request_class is not None and (
+            request.request_class.run_once
         )
+        session = self._run_once_session if is_run_once else self._session
+        left = self._milliseconds_left(request)
+        return await session.request(
+            request.method,
+            URL(self._url + request.path, encoded=True),
+            headers=request_headers(request, left),
+            skip_auto_headers=AUTOMATIC_HEADERS,
+            data=None if request.method in ("GET", "HEAD") else body.async_read(),
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_TIMEOUT.total_seconds()
+            ),
+            trace_request_ctx=request.contact,
+        )
+
+    def _check(self, request: Request, response: aiohttp.ClientResponse) -> Answer:
+        """Return the answer in a response, or a refusal in place of a wrong one."""
+        if response.status == SHED_STATUS and SHED_HEADER in response.headers:
+            reason = response.headers[SHED_HEADER]
+            response.close()
+            return _refuse_shed(request, reason)
+        problem = _problem(request, response)
+        if problem is not None:
+            response.close()
+            return _refuse_failed(request, problem)
+        headers = answer_headers(response.headers.items())
         return Answer(response.status, headers, _async_body(response))
 
-    def _headers(self, request: Request) -> list[tuple[str, str]]:
-        """Return the headers for the backend server, deadline included."""
-        headers = [
-            (header.name, header.value)
-            for header in request.headers
-            if not header.name.startswith(":")
-        ]
-        headers.append((REQUEST_ID_HEADER, request.identifier))
-        if request.deadline is not None:
-            left = request.deadline - self._clock.monotonic()
-            milliseconds = max(0, round(left.total_seconds() * 1000))
-            headers.append((DEADLINE_HEADER, str(milliseconds)))
-        return headers
+    def _milliseconds_left(self, request: Request) -> int | None:
+        """Return the time that the caller grants the backend server."""
+        if request.deadline is None:
+            return None
+        left = request.deadline - self._clock.monotonic()
+        return max(0, round(left.total_seconds() * 1000))
+
+    def _seconds_left(self, request: Request) -> float | None:
+        """Return how long to wait for the head of the answer.
+
+        A run-once request gets some more time, since to cut it off would
+        leave its outcome unknown for ever.
+        """
+        if request.deadline is None:
+            return None
+        left = request.deadline - self._clock.monotonic()
+        if request.request_class is not None and request.request_class.run_once:
+            left += RUN_ONCE_GRACE
+        return max(_ZERO, left).total_seconds()
+
+
+def _problem(request: Request, response: aiohttp.ClientResponse) -> str | None:
+    """Return why a response can't be the whole answer to a request, or None."""
+    identities = response.headers.getall(REQUEST_ID_HEADER, [])
+    if any(identity != request.identifier for identity in identities):
+        return "the answer belongs to another request"
+    if not identities and response.ok:
+        return f"the answer has no {REQUEST_ID_HEADER} header to tell it by"
+    if response.status in NO_BODY_STATUSES or request.method == "HEAD":
+        return None
+    is_chunked = "chunked" in response.headers.get("transfer-encoding", "").lower()
+    if not is_chunked and response.content_length is None:
+        return "the answer has neither a length nor chunks, so its end is unknown"
+    return None
+
+
+def _refuse_shed(request: Request, reason: str) -> Answer:
+    """Return the refusal for the documented shed answer of a backend server."""
+    request.contact.record_shed()
+    answer = refuse(
+        Refusal(
+            RefusalKind.SHED,
+            Outcome.NOT_RUN,
+            SHED_RETRY_AFTER,
+            proof=prove_by_contact(request.contact),
+        )
+    )
+    headers = (*answer.headers, Header(SHED_HEADER, reason))
+    return Answer(answer.status, headers, answer.body, answer.refusal)
+
+
+def _refuse_failed(request: Request, problem: str) -> Answer:
+    """Return the refusal for a backend server that gave no whole answer."""
+    proof = prove_by_contact(request.contact)
+    outcome = Outcome.UNKNOWN if proof is None else Outcome.NOT_RUN
+    return refuse(
+        Refusal(RefusalKind.BACKEND_FAILED, outcome, detail=problem, proof=proof)
+    )
 
 
 async def _async_body(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    """Yield the body; closing early cancels the request at the backend server."""
+    """Yield the body; closing early cancels the request at the backend server.
+
+    A body that ends before its declared length raises ``AnswerBroken``.
+    """
     try:
         async for piece in response.content.iter_chunked(PIECE_BYTES):
             yield piece
+    except (aiohttp.ClientError, OSError) as error:
+        raise AnswerBroken(type(error).__name__) from error
     finally:
         response.close()
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -26,7 +26,7 @@
 from pomelotrail_core.timeline.service import TimelineService
 
 from .admission import AdmissionGate
-from .backend import BackendClient
+from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
 from .edge import PacketSocket, QuicEdge
 from .edge.quic_edge import quic_configuration
@@ -78,11 +78,19 @@
         await self._control.async_start()
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
-        async with aiohttp.ClientSession(auto_decompress=False) as session:
+        async with (
+            aiohttp.ClientSession() as session,
+            open_backend_session(is_reusing_connections=True) as kept,
+            open_backend_session(is_reusing_connections=False) as fresh,
+        ):
             source = ServiceSource(process.configuration_service, session)
             following = asyncio.create_task(self._coordinator.async_follow(source))
             configuration = await self._coordinator.async_wait_first()
-            await self._async_open_edge(configuration, session)
+            server = self._own_server(configuration)
+            backend = BackendClient(
+                self._settings.backend_server, kept, self._clock, fresh
+            )
+            await self._async_open_edge(configuration, self._handler(server, backend))
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
@@ -93,17 +101,13 @@
         await self._metrics.async_stop()
 
     async def _async_open_edge(
-        self, configuration: Configuration, session: aiohttp.ClientSession
+        self, configuration: Configuration, handler: RequestHandler
     ) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
         service = configuration.service(self._settings.service)
-        server = _own_server(service, process.name)
-        if service is None or server is None:
-            raise SystemExit(
-                f"backend server {process.name!r} is not listed under service "
-                f"{self._settings.service!r}; publish it or mend the settings"
-            )
+        assert service is not None
+        server = self._own_server(configuration)
         zone = configuration.zone(process.zone)
         assert zone is not None
         packet_socket = PacketSocket(
@@ -123,7 +127,7 @@
                 str(self._settings.certificate), str(self._settings.private_key)
             ),
             TokenMint(process.token_keys, token),
-            self._handler(server, session),
+            handler,
             packet_socket.return_to_caller,
             lambda: self._roster.packed_balancers,
             self._clock,
@@ -134,11 +138,19 @@
             lambda: packet_socket, local_addr=process.packets.socket_address
         )
 
-    def _handler(
-        self, server: BackendServer, session: aiohttp.ClientSession
-    ) -> RequestHandler:
+    def _own_server(self, configuration: Configuration) -> BackendServer:
+        """Return the backend server beside this companion."""
+        name = self._settings.process.name
+        server = _own_server(configuration.service(self._settings.service), name)
+        if server is None:
+            raise SystemExit(
+                f"backend server {name!r} is not listed under service "
+                f"{self._settings.service!r}; publish it or mend the settings"
+            )
+        return server
+
+    def _handler(self, server: BackendServer, backend: BackendClient) -> RequestHandler:
         """Return the steps that each request passes."""
-        backend = BackendClient(self._settings.backend_server, session, self._clock)
         gate = AdmissionGate(server.slots, backend)
         return Dispatcher(
             self._settings.service,
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/__init__.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/__init__.py
@@ -1,6 +1,7 @@
 """Requests, answers and refusals, and who handles them."""
 
 from .dispatcher import Dispatcher
+from .errors import AnswerBroken, BodyTooLarge
 from .handler import RequestHandler
 from .messages import Answer, Header, Request
 from .refusals import Outcome, Refusal, refuse
@@ -8,6 +9,8 @@
 
 __all__ = [
     "Answer",
+    "AnswerBroken",
+    "BodyTooLarge",
     "Dispatcher",
     "Header",
     "Outcome",
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/dispatcher.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/dispatcher.py
@@ -6,13 +6,20 @@
 from pomelotrail_core.configuration import ConfigurationCoordinator, RequestClass
 from pomelotrail_core.timeline import EventKind, Recorder
 
+from .body_limit import async_limited, is_declared_too_large
+from .errors import BodyTooLarge
 from .handler import RequestHandler
 from .messages import Answer, Request
-from .refusals import Outcome, Refusal, RefusalKind, refuse
+from .proof import prove_by_contact
+from .refusals import Outcome, Refusal, RefusalKind, confirm, refuse
 
 
 class Dispatcher(RequestHandler):
-    """Hands requests of known classes to the next step."""
+    """Hands requests of known classes to the next step.
+
+    It is the last to see each answer before the caller, so every refusal is
+    confirmed here.
+    """
 
     def __init__(
         self,
@@ -40,21 +47,38 @@
             request=request.identifier,
             detail=request_class.name,
         )
-        known = attrs.evolve(
-            request,
-            request_class=request_class,
-            deadline=self._clock.monotonic() + request_class.deadline,
-        )
-        answer = await self._next.async_handle(known)
+        answer = await self._async_answer(request, request_class)
         self._recorder.record(
             EventKind.REQUEST_ANSWERED,
             flow=request.flow,
             request=request.identifier,
             cause=started,
-            detail=f"status {answer.status}",
+            detail=_describe(answer),
         )
         return answer
 
+    async def _async_answer(
+        self, request: Request, request_class: RequestClass
+    ) -> Answer:
+        """Hand a request of a known class on, and confirm what comes back."""
+        limit = request_class.body_limit
+        if is_declared_too_large(request, limit):
+            return refuse(Refusal(RefusalKind.BODY_TOO_LARGE, Outcome.NOT_RUN))
+        latest = self._clock.monotonic() + request_class.deadline
+        known = attrs.evolve(
+            request,
+            request_class=request_class,
+            deadline=min(request.deadline or latest, latest),
+            body=async_limited(request.body, limit),
+        )
+        try:
+            answer = await self._next.async_handle(known)
+        except BodyTooLarge:
+            proof = prove_by_contact(request.contact)
+            outcome = Outcome.UNKNOWN if proof is None else Outcome.NOT_RUN
+            answer = refuse(Refusal(RefusalKind.BODY_TOO_LARGE, outcome))
+        return confirm(answer, request.contact)
+
     def _request_class(self, request: Request) -> RequestClass | None:
         """Return the class of a request by the configuration in force."""
         configuration = self._coordinator.current
@@ -62,3 +86,11 @@
         if service is None:
             return None
         return service.request_class(request.method, request.path.partition("?")[0])
+
+
+def _describe(answer: Answer) -> str:
+    """Return the detail of an answer for the time line."""
+    if answer.refusal is None:
+        return f"status {answer.status}"
+    refusal = answer.refusal
+    return f"status {answer.status}, {refusal.kind.slug}, {refusal.outcome.value}"
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/messages.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/messages.py
@@ -2,11 +2,17 @@
 
 from collections.abc import AsyncIterator
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 import attrs
 
 from pomelotrail_core.configuration import RequestClass
 
+from .proof import BackendContact
+
+if TYPE_CHECKING:
+    from .refusals import Refusal
+
 
 @attrs.frozen
 class Header:
@@ -22,7 +28,8 @@
 
     ``deadline`` is the monotonic time by which the caller wants the answer;
     ``request_class`` is set once the dispatcher knows it. ``body`` yields the
-    body in pieces and can be read once.
+    body in pieces and can be read once. ``hops`` counts the companions that
+    have handed it on; ``contact`` is shared by all copies of the request.
     """
 
     identifier: str
@@ -33,6 +40,8 @@
     body: AsyncIterator[bytes]
     deadline: timedelta | None = None
     request_class: RequestClass | None = None
+    hops: int = 0
+    contact: BackendContact = attrs.field(factory=BackendContact, eq=False)
 
     def header(self, name: str) -> str | None:
         """Return the value of the first header of that name, or None."""
@@ -41,11 +50,17 @@
 
 @attrs.frozen
 class Answer:
-    """The answer to a request; ``body`` yields its pieces and can be read once."""
+    """The answer to a request; ``body`` yields its pieces and can be read once.
+
+    The body ends normally only when it is whole; a broken one raises.
+    ``refusal`` is set when the answer comes from a companion and not from a
+    backend server.
+    """
 
     status: int
     headers: tuple[Header, ...]
     body: AsyncIterator[bytes]
+    refusal: "Refusal | None" = None
 
     def header(self, name: str) -> str | None:
         """Return the value of the first header of that name, or None."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/refusals.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/refusals.py
@@ -1,4 +1,8 @@
-"""The refusals that callers can get (RFC 9457 problem details)."""
+"""The refusals that callers can get (RFC 9457 problem details).
+
+Every refusal passes ``confirm`` before a caller sees it, which is the only
+function that lets "not run" out, and only with a proof.
+"""
 
 import enum
 import json
@@ -7,9 +11,15 @@
 
 import attrs
 
+from pomelotrail_core.logs import get_logger
+
 from .messages import Answer, Header, async_pieces
+from .proof import BackendContact, NotRunProof, prove_by_contact
+
+_LOGGER = get_logger("requests")
 
 OUTCOME_HEADER: Final = "request-outcome"
+RETRY_AFTER_HEADER: Final = "retry-after"
 
 
 class Outcome(enum.Enum):
@@ -17,6 +27,7 @@
 
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
+    RUN = "run"
 
 
 class RefusalKind(enum.Enum):
@@ -26,9 +37,33 @@
     OVERLOADED = (503, "the backend server has no room; try again")
     LEAVING = (503, "the backend server is leaving; open a new connection")
     TOO_LATE = (504, "the deadline can't be met")
-    TICKET_REQUIRED = (428, "send the Idempotency-Key of this answer")
     BODY_TOO_LARGE = (413, "the body is larger than the class allows")
     BACKEND_FAILED = (502, "the backend server gave no whole answer")
+    SHED = (503, "the backend server shed the request; try again")
+    TICKET_REQUIRED = (428, "send the Idempotency-Key of this answer")
+    TICKET_FENCED = (
+        428,
+        "this Idempotency-Key can't be used any more; send that of this answer",
+    )
+    TICKET_REUSED = (422, "this Idempotency-Key belongs to another request")
+    TICKET_UNREADABLE = (
+        400,
+        "this Idempotency-Key can't be read any more; check whether the request ran",
+    )
+    TICKET_FORGOTTEN = (
+        409,
+        "this Idempotency-Key is too old; check whether the request ran",
+    )
+    ANSWER_NOT_KEPT = (410, "the request has run; its answer is no longer kept")
+    STILL_RUNNING = (504, "the request is running; ask again with the same key")
+    EXECUTOR_UNREACHABLE = (
+        503,
+        "the companion that knows the outcome can't be reached; ask again",
+    )
+    EXECUTOR_GONE = (
+        409,
+        "the companion that knew the outcome is gone; check whether the request ran",
+    )
 
     @property
     def status(self) -> int:
@@ -40,21 +75,33 @@
         """Return the title of the problem."""
         return self.value[1]
 
+    @property
+    def slug(self) -> str:
+        """Return the name of the kind in problem bodies and on the wire."""
+        return self.name.lower().replace("_", "-")
+
 
 @attrs.frozen
 class Refusal:
-    """A refusal before it is put into words for the caller."""
+    """A refusal before it is put into words for the caller.
+
+    With ``Outcome.UNKNOWN`` a ``retry_after`` says that asking again with the
+    same key may tell the outcome; without it the outcome stays unknown.
+    ``proof`` stands for ``Outcome.NOT_RUN`` when it is more than that no byte
+    went to the backend server, which is found from the request itself.
+    """
 
     kind: RefusalKind
     outcome: Outcome
     retry_after: timedelta | None = None
     detail: str = ""
+    proof: NotRunProof | None = None
 
 
 def refuse(refusal: Refusal) -> Answer:
     """Return the answer that tells a caller of a refusal."""
     problem = {
-        "type": f"urn:pomelotrail:{refusal.kind.name.lower().replace('_', '-')}",
+        "type": f"urn:pomelotrail:{refusal.kind.slug}",
         "title": refusal.kind.title,
         "status": refusal.kind.status,
         "outcome": refusal.outcome.value,
@@ -69,5 +116,20 @@
     ]
     if refusal.retry_after is not None:
         seconds = max(1, round(refusal.retry_after.total_seconds()))
-        headers.append(Header("retry-after", str(seconds)))
-    return Answer(refusal.kind.status, tuple(headers), async_pieces(body))
+        headers.append(Header(RETRY_AFTER_HEADER, str(seconds)))
+    return Answer(refusal.kind.status, tuple(headers), async_pieces(body), refusal)
+
+
+def confirm(answer: Answer, contact: BackendContact) -> Answer:
+    """Let an answer pass to the caller; "not run" passes only with a proof.
+
+    A "not run" without a proof is a fault of the step that said so. The
+    caller is told "unknown" instead, which is always true.
+    """
+    refusal = answer.refusal
+    if refusal is None or refusal.outcome is not Outcome.NOT_RUN:
+        return answer
+    if refusal.proof is not None or prove_by_contact(contact) is not None:
+        return answer
+    _LOGGER.error("Refusal %s said not-run without a proof", refusal.kind.slug)
+    return refuse(attrs.evolve(refusal, outcome=Outcome.UNKNOWN))
