--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -85,12 +85,12 @@
         ):
             source = ServiceSource(process.configuration_service, session)
             following = asyncio.create_task(self._coordinator.async_follow(source))
-            configuration = await self._coordinator.async_wait_first()
-            server = self._own_server(configuration)
+            configuration = await self._async_wait_listed()
             backend = BackendClient(
                 self._settings.backend_server, kept, self._clock, fresh
             )
-            await self._async_open_edge(configuration, self._handler(server, backend))
+            handler = self._handler(configuration, backend)
+            await self._async_open_edge(configuration, handler)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
@@ -100,15 +100,31 @@
         await self._control.async_stop()
         await self._metrics.async_stop()
 
+    async def _async_wait_listed(self) -> Configuration:
+        """Wait until the configuration lists the backend server beside us."""
+        name, service = self._settings.process.name, self._settings.service
+        configuration = await self._coordinator.async_wait_first()
+        if not _is_listed(configuration, service, name):
+            _LOGGER.warning(
+                "Backend server %r is not listed under service %r; waiting until "
+                "it is published. Check name and service in the settings",
+                name,
+                service,
+            )
+        return await self._coordinator.async_wait_until(
+            lambda current: _is_listed(current, service, name)
+        )
+
     async def _async_open_edge(
         self, configuration: Configuration, handler: RequestHandler
     ) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
         service = configuration.service(self._settings.service)
-        assert service is not None
-        server = self._own_server(configuration)
+        server = _own_server(service, process.name)
         zone = configuration.zone(process.zone)
+        assert service is not None
+        assert server is not None
         assert zone is not None
         packet_socket = PacketSocket(
             service.number,
@@ -138,19 +154,13 @@
             lambda: packet_socket, local_addr=process.packets.socket_address
         )
 
-    def _own_server(self, configuration: Configuration) -> BackendServer:
-        """Return the backend server beside this companion."""
-        name = self._settings.process.name
-        server = _own_server(configuration.service(self._settings.service), name)
-        if server is None:
-            raise SystemExit(
-                f"backend server {name!r} is not listed under service "
-                f"{self._settings.service!r}; publish it or mend the settings"
-            )
-        return server
-
-    def _handler(self, server: BackendServer, backend: BackendClient) -> RequestHandler:
+    def _handler(
+        self, configuration: Configuration, backend: BackendClient
+    ) -> RequestHandler:
         """Return the steps that each request passes."""
+        service = configuration.service(self._settings.service)
+        server = _own_server(service, self._settings.process.name)
+        assert server is not None
         gate = AdmissionGate(server.slots, backend)
         return Dispatcher(
             self._settings.service,
@@ -174,6 +184,11 @@
         return {"flows": float(flows)}
 
 
+def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
+    """Tell whether a service lists a backend server of that name."""
+    return _own_server(configuration.service(service), name) is not None
+
+
 def _own_server(service: Service | None, name: str) -> BackendServer | None:
     """Return the backend server of that name in a service."""
     if service is None:
