Tell which companions may hold flows, and which are in a zone that is out

Cause: a packet that opens no flow must look among leaving backend servers too, and a companion that passes an opening on must not pass it into an availability zone that is out. The roster knew only who may take new flows.

--- a/packages/pomelotrail-core/pomelotrail_core/membership/roster.py
+++ b/packages/pomelotrail-core/pomelotrail_core/membership/roster.py
@@ -16,6 +16,8 @@
         self._configuration: Configuration | None = None
         self._suspected: frozenset[str] = frozenset()
         self._candidates: dict[int, tuple[Candidate, ...]] = {}
+        self._holders: dict[int, tuple[Candidate, ...]] = {}
+        self._packed_out: frozenset[bytes] = frozenset()
         self._packed_balancers: tuple[bytes, ...] = ()
 
     @property
@@ -50,10 +52,35 @@
         """Return the companions that may take new flows of a service."""
         return self._candidates.get(service_number, ())
 
+    def holders(self, service_number: int) -> tuple[Candidate, ...]:
+        """Return the companions that may hold flows, the leaving ones included."""
+        return self._holders.get(service_number, ())
+
+    def is_out(self, packed_companion: bytes) -> bool:
+        """Tell whether a companion is in an availability zone that is out."""
+        return packed_companion in self._packed_out
+
     def _rebuild(self) -> None:
         """Work out the candidates of every service."""
         if self._configuration is None:
             return
+        zones_out = self._configuration.zones_out
+        servers = [
+            server
+            for service in self._configuration.services
+            for server in service.backend_servers
+        ]
+        self._packed_out = frozenset(
+            server.packets.pack() for server in servers if server.zone in zones_out
+        )
+        self._holders = {
+            service.number: tuple(
+                Candidate(server.packets)
+                for server in service.backend_servers
+                if server.zone not in zones_out
+            )
+            for service in self._configuration.services
+        }
         self._candidates = {
             service.number: self._eligible(service.backend_servers)
             for service in self._configuration.services
