Send all packets of one opening one way, and refuse truthfully

Cause: a full companion decided packet by packet, so a retransmission that met room opened a second flow; the last candidate dropped in silence and the caller waited for its timeout; a token of an earlier incarnation could open a flow; random bytes in the shape of an Initial left a connection for three minutes. Now PassOn remembers a decision for 3 s; the last candidate answers an Initial with CONNECTION_REFUSED and keeps nothing; packets that name a flow which is not here are dropped by reason; packets that open nothing follow the candidates, leaving servers included; an opening that can't be decrypted or is not finished in 10 s is forgotten; packets tell a higher configuration version to a callback. Ruled out: asking the next candidate first (a round trip for each opening).

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -8,6 +8,7 @@
 
 from pomelotrail_core.clock import Clock, SystemClock
 from pomelotrail_core.configuration import ConfigurationCoordinator, ServiceSource
+from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.metrics import Metrics
@@ -15,6 +16,7 @@
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
+from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
@@ -43,7 +45,9 @@
             TokenReader(process.token_keys), self._roster, RendezvousRanking()
         )
         self._fleet_socket = FleetSocket(
-            self._encapsulation, self._metrics.meter("returns")
+            self._encapsulation,
+            VersionWatch(lambda: self._coordinator.version, self._newer_version_seen),
+            self._metrics.meter("returns"),
         )
         self._waiting: set[asyncio.Task[None]] = set()
         self._control = ControlServer(
@@ -83,6 +87,10 @@
         await self._control.async_stop()
         await self._metrics.async_stop()
 
+    def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
+        """Note that a peer has a version which this process has missed."""
+        _LOGGER.info("Version %d is in force at %s", version, sender)
+
     async def _async_listen(self) -> None:
         """Open the sockets for packets."""
         loop = asyncio.get_running_loop()
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/forwarding/forwarder.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from pomelotrail_core.routing.quic_header import (
     destination_connection_id,
     is_long_header,
+    is_opening,
 )
 
 from .const import OWNER_CACHE_ENTRIES
@@ -58,7 +59,7 @@
             return self._route_to_owner(service_number, owner)
         if not is_long_header(packet):
             return Err(DropReason.UNKNOWN_OWNER)
-        return self._route_new(service_number, connection_id)
+        return self._route_unowned(service_number, connection_id, packet)
 
     def _owner(self, connection_id: bytes) -> RoutingToken | None:
         """Return what the connection ID names, remembering recent ones."""
@@ -84,13 +85,19 @@
             return Err(DropReason.ZONE_OUT)
         return Ok(Route(owner.companion.socket_address, _NO_CANDIDATES))
 
-    def _route_new(
-        self, service_number: int, connection_id: bytes
+    def _route_unowned(
+        self, service_number: int, connection_id: bytes, packet: bytes
     ) -> Result[Route, DropReason]:
-        """Return the way to the best candidate for a new flow."""
-        ranked = self._ranking.rank(
-            connection_id, self._roster.candidates(service_number), MAX_CANDIDATES
-        )
+        """Return the way along the ranked candidates.
+
+        A packet that opens no flow belongs to one that some companion holds,
+        perhaps a leaving one, so it is offered to those as well.
+        """
+        if is_opening(packet):
+            candidates = self._roster.candidates(service_number)
+        else:
+            candidates = self._roster.holders(service_number)
+        ranked = self._ranking.rank(connection_id, candidates, MAX_CANDIDATES)
         if not ranked:
             return Err(DropReason.NO_CANDIDATE)
         first: Endpoint = ranked[0].companion
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/forwarding/tests/test_forwarder.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/forwarding/tests/test_forwarder.py
@@ -5,12 +5,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from harness.builders import configuration, routing_token, token_keys
+from harness.builders import backend_server, configuration, routing_token, token_keys
 from pomelotrail_balancer.forwarding import Forwarder
 from pomelotrail_balancer.forwarding.errors import DropReason
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.routing import RendezvousRanking, TokenMint, TokenReader
+from pomelotrail_core.routing.quic_header import MIN_OPENING_BYTES
 
 _SHORT_HEADER = 0x40
 
@@ -31,8 +32,9 @@
 
 
 def _opening_packet(connection_id: bytes) -> bytes:
-    """Return the start of an opening packet."""
-    return b"\xc0\x00\x00\x00\x01" + bytes([len(connection_id)]) + connection_id
+    """Return something with the shape of an opening packet."""
+    head = b"\xc0\x00\x00\x00\x01" + bytes([len(connection_id)]) + connection_id
+    return head.ljust(MIN_OPENING_BYTES, b"\0")
 
 
 class ForwarderTest(unittest.TestCase):
@@ -70,6 +72,20 @@
             packet = _opening_packet(number.to_bytes(8, "big"))
             self.assertNotIn(forwarder.route(1, packet).unwrap().destination, out)
 
+    def test_leaving_server_gets_searching_packets_only(self) -> None:
+        """Its flows are found there, but it gets no new ones."""
+        servers = (backend_server(1, is_out=True), backend_server(2))
+        forwarder = _forwarder(servers=servers)
+        leaving = servers[0].packets.socket_address
+        opened, searched = set(), set()
+        for number in range(50):
+            packet = _opening_packet(number.to_bytes(8, "big"))
+            opened.add(forwarder.route(1, packet).unwrap().destination)
+            small = packet[:200]
+            searched.add(forwarder.route(1, small).unwrap().destination)
+        self.assertNotIn(leaving, opened)
+        self.assertIn(leaving, searched)
+
     @given(st.binary(max_size=60))
     def test_random_packets_never_raise(self, packet: bytes) -> None:
         """Random bytes are routed as openings of this service or dropped."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/returns/fleet_socket.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/returns/fleet_socket.py
@@ -8,13 +8,17 @@
 from pomelotrail_balancer.forwarding import ServiceSocket
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.routing import Encapsulation, ReturnedPacket
+from pomelotrail_core.routing.version_watch import VersionWatch
 
 
 class FleetSocket(asyncio.DatagramProtocol):
     """Sends wrapped packets to companions and unwraps their answers."""
 
-    def __init__(self, encapsulation: Encapsulation, meter: Meter) -> None:
+    def __init__(
+        self, encapsulation: Encapsulation, versions: VersionWatch, meter: Meter
+    ) -> None:
         """Accept answers that the fleet key authenticates."""
+        self._versions = versions
         self._encapsulation = encapsulation
         self._transport: asyncio.DatagramTransport | None = None
         self._services: dict[int, ServiceSocket] = {}
@@ -40,6 +44,7 @@
             case Err(error):
                 self._rejected.add(1, {"reason": error.name.lower()})
             case Ok(packet):
+                self._versions.see(packet.version, addr)
                 self._return(packet)
 
     def _return(self, packet: ReturnedPacket) -> None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -15,21 +15,23 @@
     Service,
     ServiceSource,
 )
+from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.metrics import Metrics
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
-from pomelotrail_core.routing import Encapsulation, RoutingToken, TokenMint
+from pomelotrail_core.routing import RoutingToken
+from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
 from .admission import AdmissionGate
 from .backend import BackendClient
 from .draining import DrainingState
-from .edge import PacketSocket, QuicEdge
-from .edge.quic_edge import quic_configuration
+from .edge import ConnectionLimit, QuicEdge
+from .edge.assembly import EdgeContext, async_open_edge
 from .requests import Dispatcher, RequestHandler
 from .settings import CompanionSettings
 
@@ -118,34 +120,33 @@
         assert service is not None
         assert server is not None
         assert zone is not None
-        packet_socket = PacketSocket(
-            service.number,
-            server.connections,
-            Encapsulation(process.fleet_key),
-            self._draining,
-            lambda: self._coordinator.version,
-            self._recorder,
-            self._metrics.meter("edge"),
-        )
         token = RoutingToken(
             zone.number, process.packets, service.number, self._incarnation & 0xFFFF
         )
-        self._edge = QuicEdge(
-            quic_configuration(
-                str(self._settings.certificate), str(self._settings.private_key)
-            ),
-            TokenMint(process.token_keys, token),
-            self._handler(server, session),
-            packet_socket.return_to_caller,
-            lambda: self._roster.packed_balancers,
-            self._clock,
-            self._recorder,
-        )
-        packet_socket.attach(self._edge)
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: packet_socket, local_addr=process.packets.socket_address
+        self._edge = await async_open_edge(
+            EdgeContext(
+                process=process,
+                token=token,
+                certificate=str(self._settings.certificate),
+                private_key=str(self._settings.private_key),
+                handler=self._handler(server, session),
+                admission=ConnectionLimit(server.connections),
+                draining=self._draining,
+                roster=self._roster,
+                own_version=lambda: self._coordinator.version,
+                versions=VersionWatch(
+                    lambda: self._coordinator.version, self._newer_version_seen
+                ),
+                clock=self._clock,
+                recorder=self._recorder,
+                meter=self._metrics.meter("edge"),
+            )
         )
 
+    def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
+        """Note that a peer has a version which this process has missed."""
+        _LOGGER.info("Version %d is in force at %s", version, sender)
+
     def _handler(
         self, server: BackendServer, session: aiohttp.ClientSession
     ) -> RequestHandler:
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/__init__.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/__init__.py
@@ -1,7 +1,20 @@
 """The caller edge: terminates flows and turns packets into requests."""
 
 from .caller_edge import CallerEdge
+from .drops import Drops
+from .flow_admission import ConnectionLimit, FlowAdmission
+from .packet_router import PacketRouter
 from .packet_socket import PacketSocket
+from .pass_on import PassOn
 from .quic_edge import QuicEdge
 
-__all__ = ["CallerEdge", "PacketSocket", "QuicEdge"]
+__all__ = [
+    "CallerEdge",
+    "ConnectionLimit",
+    "Drops",
+    "FlowAdmission",
+    "PacketRouter",
+    "PacketSocket",
+    "PassOn",
+    "QuicEdge",
+]
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
@@ -0,0 +1,85 @@
+"""Assembles the caller edge of a companion."""
+
+import asyncio
+
+import attrs
+from opentelemetry.metrics import Meter
+
+from pomelotrail_companion.draining import DrainingState
+from pomelotrail_companion.requests import RequestHandler
+from pomelotrail_core.clock import Clock
+from pomelotrail_core.membership import Roster
+from pomelotrail_core.routing import Encapsulation, RoutingToken, TokenMint, TokenReader
+from pomelotrail_core.routing.version_watch import OwnVersion, VersionWatch
+from pomelotrail_core.settings.process_settings import ProcessSettings
+from pomelotrail_core.timeline import Recorder
+from pomelotrail_core.timeline.throttle import EventThrottle
+
+from .drops import Drops
+from .flow_admission import FlowAdmission
+from .packet_router import PacketRouter
+from .packet_socket import PacketSocket
+from .pass_on import PassOn
+from .quic_edge import QuicEdge, quic_configuration
+
+
+@attrs.frozen
+class EdgeContext:
+    """What the edge needs from the other slices of the companion.
+
+    ``certificate`` and ``private_key`` are paths of PEM files.
+    """
+
+    process: ProcessSettings
+    token: RoutingToken
+    certificate: str
+    private_key: str
+    handler: RequestHandler
+    admission: FlowAdmission
+    draining: DrainingState
+    roster: Roster
+    own_version: OwnVersion
+    versions: VersionWatch
+    clock: Clock
+    recorder: Recorder
+    meter: Meter
+
+
+async def async_open_edge(context: EdgeContext) -> QuicEdge:
+    """Open the packet socket of a companion and return its edge."""
+    process = context.process
+    events = EventThrottle(context.recorder, context.clock)
+    drops = Drops(context.meter, events)
+    packet_socket = PacketSocket(
+        context.token.service_number,
+        Encapsulation(process.fleet_key),
+        context.own_version,
+        context.versions,
+        drops,
+        context.meter,
+    )
+    edge = QuicEdge(
+        quic_configuration(context.certificate, context.private_key),
+        TokenMint(process.token_keys, context.token),
+        context.handler,
+        packet_socket.return_to_caller,
+        lambda: context.roster.packed_balancers,
+        context.clock,
+        context.recorder,
+    )
+    router = PacketRouter(
+        context.token,
+        TokenReader(process.token_keys),
+        edge,
+        context.draining,
+        context.admission,
+        PassOn(context.clock, context.roster.is_out),
+        packet_socket,
+        drops,
+        events,
+    )
+    packet_socket.attach(router)
+    await asyncio.get_running_loop().create_datagram_endpoint(
+        lambda: packet_socket, local_addr=process.packets.socket_address
+    )
+    return edge
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/caller_edge.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/caller_edge.py
@@ -12,6 +12,7 @@
     TAKEN = "taken"
     OPENING = "opening"
     UNKNOWN = "unknown"
+    MALFORMED = "malformed"
 
 
 class CallerEdge(abc.ABC):
@@ -27,8 +28,16 @@
         """Handle a packet of a known flow; say what it is otherwise."""
 
     @abc.abstractmethod
-    def open_flow(self, packet: ForwardedPacket) -> None:
-        """Open a new flow with an opening packet."""
+    def classify(self, packet: ForwardedPacket) -> PacketVerdict:
+        """Say what a packet of an unknown flow is."""
+
+    @abc.abstractmethod
+    def open_flow(self, packet: ForwardedPacket) -> bool:
+        """Open a new flow; False if the packet turns out to open none."""
+
+    @abc.abstractmethod
+    def refuse(self, packet: ForwardedPacket) -> None:
+        """Tell the sender of an opening packet that its flow is refused."""
 
     @abc.abstractmethod
     def announce_leaving(self) -> None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/const.py
@@ -12,3 +12,6 @@
 ISSUED_CONNECTION_IDS: Final = 8
 STATELESS_RESET_BYTES: Final = 16
 RETURN_PATH_TRUST: Final = timedelta(milliseconds=250)
+PASS_ON_MEMORY: Final = timedelta(seconds=3)
+PASS_ON_ENTRIES: Final = 16_384
+HANDSHAKE_TIMEOUT: Final = timedelta(seconds=10)
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/drops.py
@@ -0,0 +1,59 @@
+"""Counts the packets that a companion drops, by reason."""
+
+import enum
+from collections import Counter
+
+from opentelemetry.metrics import Meter
+
+from pomelotrail_core.routing.errors import EncapsulationError
+from pomelotrail_core.timeline import EventKind
+from pomelotrail_core.timeline.throttle import EventThrottle
+
+
+class DropReason(enum.Enum):
+    """The reasons, as they stand in metrics and on the time line."""
+
+    TRUNCATED = "truncated"
+    FORMAT = "unknown format"
+    MAC = "wrong fleet key or forged"
+    MALFORMED = "malformed packet of a caller"
+    OTHER_SERVICE = "other service"
+    OTHER_COMPANION = "token of another companion"
+    OTHER_INCARNATION = "token of an earlier incarnation"
+    ENDED_FLOW = "flow has ended"
+    UNRECOGNISED = "nobody recognises the flow"
+    ZONE_OUT = "availability zone is out"
+    NOT_READY = "not ready"
+
+
+_ENCAPSULATION_REASONS = {
+    EncapsulationError.TRUNCATED: DropReason.TRUNCATED,
+    EncapsulationError.FORMAT: DropReason.FORMAT,
+    EncapsulationError.MAC: DropReason.MAC,
+}
+
+
+def encapsulation_reason(error: EncapsulationError) -> DropReason:
+    """Return the reason for a datagram that could not be opened."""
+    return _ENCAPSULATION_REASONS[error]
+
+
+class Drops:
+    """Counts dropped packets and shows a bounded number on the time line."""
+
+    def __init__(self, meter: Meter, events: EventThrottle) -> None:
+        """Count with the meter."""
+        self._counter = meter.create_counter("dropped_packets")
+        self._events = events
+        self._counts: Counter[DropReason] = Counter()
+
+    @property
+    def counts(self) -> dict[DropReason, int]:
+        """Return the number of dropped packets by reason."""
+        return dict(self._counts)
+
+    def add(self, reason: DropReason) -> None:
+        """Count one dropped packet."""
+        self._counts[reason] += 1
+        self._counter.add(1, {"reason": reason.value})
+        self._events.record(EventKind.PACKET_DROPPED, detail=reason.value)
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
@@ -11,6 +11,7 @@
 from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import (
     ConnectionTerminated,
+    HandshakeCompleted,
     QuicEvent,
     StopSendingReceived,
     StreamReset,
@@ -24,7 +25,7 @@
 
 _LOGGER = get_logger("edge")
 
-FlowEnded = Callable[["Flow"], None]
+FlowChanged = Callable[["Flow"], None]
 
 
 class CallerGone(Exception):
@@ -70,13 +71,15 @@
         name: str,
         handler: RequestHandler,
         clock: Clock,
-        ended: FlowEnded,
+        established: FlowChanged,
+        ended: FlowChanged,
     ) -> None:
-        """Serve a connection with ``handler``; call ``ended`` at its end."""
+        """Serve a connection; ``established`` and ``ended`` tell its state."""
         super().__init__(quic)
         self._name = name
         self._handler = handler
         self._clock = clock
+        self._established = established
         self._ended = ended
         self._http = H3Connection(quic)
         self._bodies: dict[int, _Body] = {}
@@ -92,11 +95,20 @@
         """Return the number of requests without a whole answer."""
         return len(self._tasks)
 
+    def abandon(self) -> None:
+        """Forget a flow whose caller has gone, without a packet to it."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._end()
+
     def quic_event_received(self, event: QuicEvent) -> None:
         """Handle one event of the connection."""
         if isinstance(event, ConnectionTerminated):
             self._end()
             return
+        if isinstance(event, HandshakeCompleted):
+            self._established(self)
         if isinstance(event, StreamReset | StopSendingReceived):
             self._cancel(event.stream_id)
             return
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow_admission.py
@@ -0,0 +1,23 @@
+"""Whether a companion takes one more flow, as an interface."""
+
+import abc
+
+
+class FlowAdmission(abc.ABC):
+    """Decides about new flows from what the companion sees itself."""
+
+    @abc.abstractmethod
+    def has_room(self, flow_count: int) -> bool:
+        """Tell whether one more flow is welcome beside ``flow_count`` others."""
+
+
+class ConnectionLimit(FlowAdmission):
+    """Takes flows up to the connections that the backend server can hold."""
+
+    def __init__(self, connections: int) -> None:
+        """Take at most ``connections`` flows."""
+        self._connections = connections
+
+    def has_room(self, flow_count: int) -> bool:
+        """Tell whether there are fewer flows than connections."""
+        return flow_count < self._connections
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
@@ -1,6 +1,7 @@
 """The caller edge for HTTP/3 over QUIC (RFC 9000, RFC 9114)."""
 
-from typing import Any
+from datetime import timedelta
+from typing import Any, Final
 
 from aioquic.buffer import Buffer
 from aioquic.quic.configuration import QuicConfiguration
@@ -19,11 +20,14 @@
 from pomelotrail_core.timeline import EventKind, Recorder
 
 from .caller_edge import CallerEdge, PacketVerdict
-from .const import ALPN_HTTP3, IDLE_TIMEOUT, MIN_OPENING_BYTES
+from .const import ALPN_HTTP3, HANDSHAKE_TIMEOUT, IDLE_TIMEOUT, MIN_OPENING_BYTES
 from .flow import Flow
+from .refusal import connection_refused
 from .return_path import LiveBalancers, ReturnPath, SendToCaller
 from .routable_connection import RoutableQuicConnection
 
+_VERSION_NEGOTIATION: Final = 0
+
 
 def quic_configuration(certificate: str, private_key: str) -> QuicConfiguration:
     """Return the QUIC settings of a companion with the given PEM files."""
@@ -61,6 +65,7 @@
         self._by_connection_id: dict[bytes, Flow] = {}
         self._connection_ids: dict[Flow, set[bytes]] = {}
         self._paths: dict[Flow, ReturnPath] = {}
+        self._half_open: dict[Flow, timedelta] = {}
 
     @property
     def flow_count(self) -> int:
@@ -72,12 +77,29 @@
         connection_id = destination_connection_id(packet.payload)
         flow = self._by_connection_id.get(connection_id or b"")
         if flow is None:
-            return self._verdict(packet)
+            self._give_up_half_open()
+            return self.classify(packet)
         self._receive(flow, packet)
         return PacketVerdict.TAKEN
 
-    def open_flow(self, packet: ForwardedPacket) -> None:
-        """Open a flow with an Initial packet."""
+    def classify(self, packet: ForwardedPacket) -> PacketVerdict:
+        """Tell an opening packet from one that nobody here knows."""
+        try:
+            header = pull_quic_header(
+                Buffer(data=packet.payload), host_cid_length=TOKEN_BYTES
+            )
+        except ValueError:
+            return PacketVerdict.MALFORMED
+        is_whole = len(packet.payload) >= MIN_OPENING_BYTES
+        if is_whole and self._is_unknown_version(header):
+            self._negotiate_version(header, packet)
+            return PacketVerdict.TAKEN
+        if header.packet_type == QuicPacketType.INITIAL and is_whole:
+            return PacketVerdict.OPENING
+        return PacketVerdict.UNKNOWN
+
+    def open_flow(self, packet: ForwardedPacket) -> bool:
+        """Open a flow with an Initial packet; False if it can't be decrypted."""
         connection_id = destination_connection_id(packet.payload)
         assert connection_id is not None
         connection = RoutableQuicConnection(
@@ -85,19 +107,19 @@
             configuration=self._configuration,
             original_destination_connection_id=connection_id,
         )
-        flow = Flow(
-            connection, connection_id.hex(), self._handler, self._clock, self._end
-        )
-        path = ReturnPath(self._send, self._live_balancers, self._clock)
-        flow.connection_made(path)
-        self._paths[flow] = path
-        self._connection_ids[flow] = set()
-        self._register(connection_id, flow)
-        self._register(connection.host_cid, flow)
-        flow._connection_id_issued_handler = lambda cid: self._register(cid, flow)
-        flow._connection_id_retired_handler = lambda cid: self._retire(cid, flow)
-        self._recorder.record(EventKind.FLOW_OPENED, flow=flow.name)
+        flow = self._add_flow(connection, connection_id)
         self._receive(flow, packet)
+        if not connection.is_opened:
+            self._forget(flow)
+            flow.abandon()
+            return False
+        self._recorder.record(EventKind.FLOW_OPENED, flow=flow.name)
+        return True
+
+    def refuse(self, packet: ForwardedPacket) -> None:
+        """Answer an Initial packet with CONNECTION_REFUSED, keeping nothing."""
+        payload = connection_refused(packet.payload, self._mint.mint())
+        self._send(payload, packet.caller, packet.balancer)
 
     def announce_leaving(self) -> None:
         """Tell callers to open their next flow elsewhere."""
@@ -107,21 +129,36 @@
         for flow in list(self._connection_ids):
             flow.close()
 
-    def _verdict(self, packet: ForwardedPacket) -> PacketVerdict:
-        """Tell an opening packet from one that nobody here knows."""
-        try:
-            header = pull_quic_header(
-                Buffer(data=packet.payload), host_cid_length=TOKEN_BYTES
-            )
-        except ValueError:
-            return PacketVerdict.UNKNOWN
-        if header.version not in (None, 0, *self._configuration.supported_versions):
-            self._negotiate_version(header, packet)
-            return PacketVerdict.TAKEN
-        is_whole = len(packet.payload) >= MIN_OPENING_BYTES
-        if header.packet_type == QuicPacketType.INITIAL and is_whole:
-            return PacketVerdict.OPENING
-        return PacketVerdict.UNKNOWN
+    def _add_flow(
+        self, connection: RoutableQuicConnection, connection_id: bytes
+    ) -> Flow:
+        """Return a new flow that gets the packets of its connection."""
+        flow = Flow(
+            connection,
+            connection_id.hex(),
+            self._handler,
+            self._clock,
+            self._established,
+            self._end,
+        )
+        path = ReturnPath(self._send, self._live_balancers, self._clock)
+        flow.connection_made(path)
+        self._paths[flow] = path
+        self._connection_ids[flow] = set()
+        self._half_open[flow] = self._clock.monotonic() + HANDSHAKE_TIMEOUT
+        self._register(connection_id, flow)
+        self._register(connection.host_cid, flow)
+        flow._connection_id_issued_handler = lambda cid: self._register(cid, flow)
+        flow._connection_id_retired_handler = lambda cid: self._retire(cid, flow)
+        return flow
+
+    def _is_unknown_version(self, header: Any) -> bool:
+        """Tell whether a long header has a version that is not served."""
+        return header.version not in (
+            None,
+            _VERSION_NEGOTIATION,
+            *self._configuration.supported_versions,
+        )
 
     def _negotiate_version(self, header: Any, packet: ForwardedPacket) -> None:
         """Tell the caller which versions of QUIC are served."""
@@ -138,6 +175,19 @@
         caller = Endpoint.unpack(packet.caller).socket_address
         flow.datagram_received(packet.payload, caller)
 
+    def _established(self, flow: Flow) -> None:
+        """Note that the handshake of a flow is complete."""
+        self._half_open.pop(flow, None)
+
+    def _give_up_half_open(self) -> None:
+        """Forget openings whose caller went on with another companion."""
+        now = self._clock.monotonic()
+        while self._half_open:
+            flow = next(iter(self._half_open))
+            if self._half_open[flow] > now:
+                return
+            flow.abandon()
+
     def _register(self, connection_id: bytes, flow: Flow) -> None:
         """Give packets with this connection ID to a flow."""
         self._by_connection_id[connection_id] = flow
@@ -149,8 +199,14 @@
         self._connection_ids[flow].discard(connection_id)
 
     def _end(self, flow: Flow) -> None:
-        """Forget a flow that has ended."""
+        """Forget a flow that has ended, and record it."""
+        if flow in self._connection_ids:
+            self._forget(flow)
+            self._recorder.record(EventKind.FLOW_CLOSED, flow=flow.name)
+
+    def _forget(self, flow: Flow) -> None:
+        """Drop all state of a flow."""
         for connection_id in self._connection_ids.pop(flow, ()):
             self._by_connection_id.pop(connection_id, None)
         self._paths.pop(flow, None)
-        self._recorder.record(EventKind.FLOW_CLOSED, flow=flow.name)
+        self._half_open.pop(flow, None)
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/routable_connection.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/routable_connection.py
@@ -8,7 +8,11 @@
 import os
 from typing import Any
 
-from aioquic.quic.connection import QuicConnection, QuicConnectionId
+from aioquic.quic.connection import (
+    QuicConnection,
+    QuicConnectionId,
+    QuicConnectionState,
+)
 
 from pomelotrail_core.routing import TokenMint
 
@@ -27,6 +31,11 @@
         self.host_cid = first
         self._local_initial_source_connection_id = first
 
+    @property
+    def is_opened(self) -> bool:
+        """Tell whether an Initial packet of the caller could be decrypted."""
+        return self._state is not QuicConnectionState.FIRSTFLIGHT
+
     def _replenish_connection_ids(self) -> None:
         """Issue further connection IDs, up to what the caller accepts."""
         limit = min(ISSUED_CONNECTION_IDS, self._remote_active_connection_id_limit)
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/builders.py
@@ -0,0 +1,182 @@
+"""Builders of test data for the caller edge."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+from opentelemetry.metrics import NoOpMeter
+
+from harness.builders import LEDGER_NUMBER, configuration, routing_token, token_keys
+from harness.fake_clock import FakeClock
+from pomelotrail_companion.draining import DrainingState
+from pomelotrail_companion.edge import (
+    CallerEdge,
+    Drops,
+    FlowAdmission,
+    PacketRouter,
+    PassOn,
+)
+from pomelotrail_companion.edge.caller_edge import PacketVerdict
+from pomelotrail_companion.edge.packet_router import Onward
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.routing import ForwardedPacket, TokenReader
+from pomelotrail_core.routing.quic_header import destination_connection_id
+from pomelotrail_core.timeline import Recorder
+from pomelotrail_core.timeline.throttle import EventThrottle
+
+CALLER: Final = Endpoint("198.51.100.4", 5000).pack()
+BALANCER: Final = Endpoint("192.0.2.200", 7000).pack()
+OPENING_BYTES: Final = 1200
+_INITIAL: Final = 0xC0
+_HANDSHAKE: Final = 0xE0
+_SHORT: Final = 0x40
+
+
+def companion(number: int) -> bytes:
+    """Return the packed address of a companion of ``harness.builders``."""
+    return Endpoint(f"192.0.2.{number}", 7000).pack()
+
+
+def opening(connection_id: bytes = b"12345678") -> bytes:
+    """Return something with the shape of an Initial packet."""
+    head = bytes([_INITIAL, 0, 0, 0, 1, len(connection_id)]) + connection_id
+    return head.ljust(OPENING_BYTES, b"\0")
+
+
+def handshake(connection_id: bytes = b"12345678") -> bytes:
+    """Return something with the shape of a Handshake packet."""
+    return bytes([_HANDSHAKE, 0, 0, 0, 1, len(connection_id)]) + connection_id
+
+
+def short(connection_id: bytes) -> bytes:
+    """Return something with the shape of a packet of an established flow."""
+    return bytes([_SHORT]) + connection_id + bytes(40)
+
+
+def forwarded(payload: bytes, **changes: Any) -> ForwardedPacket:
+    """Return a packet as it comes from a balancer."""
+    fields: dict[str, Any] = {
+        "version": 1,
+        "service_number": LEDGER_NUMBER,
+        "caller": CALLER,
+        "balancer": BALANCER,
+        "hops": 0,
+        "candidates": (companion(2), companion(3)),
+        "payload": payload,
+        **changes,
+    }
+    return ForwardedPacket(**fields)
+
+
+class FakeEdge(CallerEdge):
+    """An edge that knows flows by their connection IDs only."""
+
+    def __init__(self) -> None:
+        """Start with no flows."""
+        self.flows: set[bytes] = set()
+        self.taken: list[ForwardedPacket] = []
+        self.refused: list[ForwardedPacket] = []
+
+    @property
+    def flow_count(self) -> int:
+        """Return the number of open flows."""
+        return len(self.flows)
+
+    def offer(self, packet: ForwardedPacket) -> PacketVerdict:
+        """Take packets of known connection IDs."""
+        if destination_connection_id(packet.payload) in self.flows:
+            self.taken.append(packet)
+            return PacketVerdict.TAKEN
+        return self.classify(packet)
+
+    def classify(self, packet: ForwardedPacket) -> PacketVerdict:
+        """Look at the first byte and the size only."""
+        if not packet.payload:
+            return PacketVerdict.MALFORMED
+        is_whole = len(packet.payload) >= OPENING_BYTES
+        if packet.payload[0] == _INITIAL and is_whole:
+            return PacketVerdict.OPENING
+        return PacketVerdict.UNKNOWN
+
+    def open_flow(self, packet: ForwardedPacket) -> bool:
+        """Remember the connection ID."""
+        connection_id = destination_connection_id(packet.payload)
+        assert connection_id is not None
+        self.flows.add(connection_id)
+        self.taken.append(packet)
+        return True
+
+    def refuse(self, packet: ForwardedPacket) -> None:
+        """Keep what was refused."""
+        self.refused.append(packet)
+
+    def announce_leaving(self) -> None:
+        """Do nothing."""
+
+    def close_all(self) -> None:
+        """Forget every flow."""
+        self.flows.clear()
+
+
+class FakeOnward(Onward):
+    """Keeps what was sent to other companions."""
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        self.sent: list[tuple[bytes, ForwardedPacket]] = []
+
+    def send_onward(self, packet: ForwardedPacket, companion: bytes) -> None:
+        """Keep one packet."""
+        self.sent.append((companion, packet))
+
+
+@attrs.define
+class FakeRoom(FlowAdmission):
+    """Has room when the test says so."""
+
+    is_open: bool = True
+
+    def has_room(self, flow_count: int) -> bool:
+        """Return what the test has set."""
+        return self.is_open
+
+
+class Bench:
+    """A router with fakes around it, for the first companion of the ledger."""
+
+    def __init__(
+        self,
+        number: int = 1,
+        clock: FakeClock | None = None,
+        onward: Onward | None = None,
+        is_out: Callable[[bytes], bool] = lambda packed: False,
+    ) -> None:
+        """Serve for the companion of that number."""
+        self.clock = clock or FakeClock()
+        self.recorder = Recorder(f"ledger-{number}", "veraval", self.clock)
+        self.events = EventThrottle(self.recorder, self.clock)
+        self.edge = FakeEdge()
+        self.onward = onward or FakeOnward()
+        self.room = FakeRoom()
+        self.drops = Drops(NoOpMeter("test"), self.events)
+        names = ("veraval", "porbandar", "jafrabad")
+        self.zone = names[number % 3]
+        self.draining = DrainingState(f"ledger-{number}", self.zone, self.recorder)
+        self.draining.configure(configuration())
+        self.pass_on = PassOn(self.clock, is_out)
+        self.token = routing_token(companion=Endpoint.unpack(companion(number)))
+        self.router = PacketRouter(
+            self.token,
+            TokenReader(token_keys()),
+            self.edge,
+            self.draining,
+            self.room,
+            self.pass_on,
+            self.onward,
+            self.drops,
+            self.events,
+        )
+
+    def take(self, payload: bytes, **changes: Any) -> None:
+        """Give the router a packet of a caller."""
+        self.router.take(forwarded(payload, **changes))
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_quic_edge.py
@@ -0,0 +1,117 @@
+"""Tests of opening, refusing and forgetting QUIC flows."""
+
+import ssl
+import tempfile
+import unittest
+from datetime import timedelta
+from pathlib import Path
+
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import ConnectionTerminated
+from aioquic.quic.packet import QuicErrorCode
+
+from harness.builders import routing_token, token_keys
+from harness.certificates import write_certificate
+from harness.fake_clock import FakeClock
+from pomelotrail_companion.edge import QuicEdge
+from pomelotrail_companion.edge.caller_edge import PacketVerdict
+from pomelotrail_companion.edge.const import HANDSHAKE_TIMEOUT
+from pomelotrail_companion.edge.quic_edge import quic_configuration
+from pomelotrail_companion.requests import Answer, Request, RequestHandler
+from pomelotrail_core.routing import TokenMint
+from pomelotrail_core.timeline import EventKind, Recorder
+
+from .builders import forwarded, handshake, opening
+
+_SERVICE = ("192.0.2.80", 443)
+
+
+class _NoRequests(RequestHandler):
+    """Stands where no request arrives."""
+
+    async def async_handle(self, request: Request) -> Answer:
+        """Fail."""
+        raise AssertionError("no request expected")
+
+
+def caller() -> QuicConnection:
+    """Return a caller that has sent nothing yet."""
+    return QuicConnection(
+        configuration=QuicConfiguration(
+            is_client=True, alpn_protocols=["h3"], verify_mode=ssl.CERT_NONE
+        )
+    )
+
+
+class QuicEdgeTest(unittest.IsolatedAsyncioTestCase):
+    """Only openings that can be decrypted cost memory, and not for long."""
+
+    def setUp(self) -> None:
+        """Make an edge whose answers are kept."""
+        with tempfile.TemporaryDirectory() as directory:
+            certificate, key = write_certificate(Path(directory))
+            configuration = quic_configuration(str(certificate), str(key))
+        self.clock = FakeClock()
+        self.recorder = Recorder("p", "z", self.clock)
+        self.sent: list[bytes] = []
+        self.edge = QuicEdge(
+            configuration,
+            TokenMint(token_keys(), routing_token()),
+            _NoRequests(),
+            lambda data, caller, balancer: self.sent.append(data),
+            tuple,
+            self.clock,
+            self.recorder,
+        )
+
+    def first_packet(self, connection: QuicConnection) -> bytes:
+        """Return the first packet of a caller."""
+        connection.connect(_SERVICE, now=0.0)
+        return connection.datagrams_to_send(0.0)[0][0]
+
+    async def test_refusal_ends_the_connection_at_once(self) -> None:
+        """The caller learns that it was refused."""
+        connection = caller()
+        self.edge.refuse(forwarded(self.first_packet(connection)))
+        connection.receive_datagram(self.sent[0], _SERVICE, 0.01)
+        closed_at = connection.get_timer()
+        assert closed_at is not None
+        connection.handle_timer(closed_at)
+        event = connection.next_event()
+        while event and not isinstance(event, ConnectionTerminated):
+            event = connection.next_event()
+        assert isinstance(event, ConnectionTerminated)
+        self.assertEqual(event.error_code, QuicErrorCode.CONNECTION_REFUSED)
+        self.assertEqual(self.edge.flow_count, 0)
+
+    async def test_opening_that_can_not_be_decrypted_leaves_nothing(self) -> None:
+        """Random bytes in the shape of an Initial packet open no flow."""
+        packet = forwarded(opening())
+        self.assertFalse(self.edge.open_flow(packet))
+        self.assertEqual(self.edge.flow_count, 0)
+        self.assertFalse(self.edge._by_connection_id)
+        self.assertFalse(self.recorder.events)
+
+    async def test_half_open_flow_is_given_up(self) -> None:
+        """A caller that went on with another companion is forgotten."""
+        self.assertTrue(self.edge.open_flow(forwarded(self.first_packet(caller()))))
+        self.clock.jump(HANDSHAKE_TIMEOUT - timedelta(seconds=1))
+        self.edge.offer(forwarded(handshake()))
+        self.assertEqual(self.edge.flow_count, 1)
+        self.clock.jump(timedelta(seconds=1))
+        self.edge.offer(forwarded(handshake()))
+        self.assertEqual(self.edge.flow_count, 0)
+        self.assertFalse(self.edge._by_connection_id)
+        kinds = [event.kind for event in self.recorder.events]
+        self.assertEqual(kinds, [EventKind.FLOW_OPENED, EventKind.FLOW_CLOSED])
+
+    async def test_unknown_version_is_negotiated_for_whole_openings(self) -> None:
+        """Small packets get no answer that is larger than they are."""
+        packet = bytearray(opening())
+        packet[4] = 99
+        whole = self.edge.classify(forwarded(bytes(packet)))
+        self.assertIs(whole, PacketVerdict.TAKEN)
+        self.assertEqual(len(self.sent), 1)
+        self.edge.classify(forwarded(bytes(packet[:200])))
+        self.assertEqual(len(self.sent), 1)
