Measure what a packet, an opening and a flow cost

The balancer's sockets and a bare relay take turns on one uvloop with batches of 64 packets of 1,200 bytes; the figure is processor time of the thread.

--- /dev/null
+++ b/measurements/datapath/packets.py
@@ -0,0 +1,199 @@
+"""Processor time of the balancer and of a bare relay for one packet."""
+
+import asyncio
+import random
+import socket
+import statistics
+import time
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import uvloop
+from opentelemetry.metrics import NoOpMeter
+
+from harness.builders import FLEET_KEY, configuration, routing_token, token_keys
+from measurements.interface import Figures
+from pomelotrail_balancer.forwarding import Forwarder, ServiceSocket
+from pomelotrail_balancer.returns import FleetSocket
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.membership import Roster
+from pomelotrail_core.routing import (
+    Encapsulation,
+    RendezvousRanking,
+    ReturnedPacket,
+    TokenMint,
+    TokenReader,
+)
+from pomelotrail_core.routing.version_watch import VersionWatch
+
+PACKET_BYTES: Final = 1_200
+BATCH: Final = 64
+FLOWS: Final = 2_000
+_LOOPBACK: Final = ("127.0.0.1", 0)
+_MICROSECONDS: Final = 1e6
+
+
+class _BareRelay(asyncio.DatagramProtocol):
+    """Sends every packet on as it is."""
+
+    def __init__(self, to: tuple[str, int]) -> None:
+        """Send to one address."""
+        self._to = to
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Send one packet on."""
+        assert self._transport is not None
+        self._transport.sendto(data, self._to)
+
+
+@attrs.define
+class _Lane:
+    """One way of packets: where they enter, and what they are."""
+
+    name: str
+    entry: tuple[str, int]
+    packet: Callable[[], bytes]
+    times: list[float] = attrs.Factory(list)
+
+
+def measure_packets(seed: int, rounds: int) -> Figures:
+    """Return microseconds of processor time for each packet."""
+    return uvloop.new_event_loop().run_until_complete(_async_measure(seed, rounds))
+
+
+async def _async_measure(seed: int, rounds: int) -> Figures:
+    """Let batches pass through the relay and the balancer in turns."""
+    sink = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sink.bind(_LOOPBACK)
+    sink.setblocking(False)
+    source = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    source.bind(_LOOPBACK)
+    lanes = await _async_lanes(random.Random(seed), sink.getsockname(), source)
+    for turn in range(rounds):
+        for lane in lanes:
+            elapsed = await _async_batch(lane, source, sink)
+            if turn:
+                lane.times.append(elapsed)
+    sink.close()
+    source.close()
+    return _figures({lane.name: statistics.median(lane.times) for lane in lanes})
+
+
+def _figures(median: dict[str, float]) -> Figures:
+    """Return the figures of the lanes, the ratio being that of both ways."""
+    balancer = (median["forward"] + median["return"]) / 2
+    return {
+        "balancer_us_per_packet": round(balancer, 2),
+        "bare_relay_us_per_packet": round(median["bare"], 2),
+        "ratio": round(balancer / median["bare"], 2),
+        "forward_us_per_packet": round(median["forward"], 2),
+        "return_us_per_packet": round(median["return"], 2),
+        "opening_us_per_packet": round(median["opening"], 2),
+    }
+
+
+async def _async_batch(
+    lane: _Lane, source: socket.socket, sink: socket.socket
+) -> float:
+    """Return the microseconds per packet of one batch."""
+    for _ in range(BATCH):
+        source.sendto(lane.packet(), lane.entry)
+    received = 0
+    began = time.thread_time()
+    while received < BATCH:
+        await asyncio.sleep(0)
+        began_draining = time.thread_time()
+        received += _drain(sink)
+        began += time.thread_time() - began_draining
+    return (time.thread_time() - began) / BATCH * _MICROSECONDS
+
+
+def _drain(sink: socket.socket) -> int:
+    """Return the number of packets that have reached the sink."""
+    count = 0
+    while True:
+        try:
+            sink.recv(2 * PACKET_BYTES)
+        except BlockingIOError:
+            return count
+        count += 1
+
+
+async def _async_lanes(
+    rng: random.Random, sink: tuple[str, int], source: socket.socket
+) -> list[_Lane]:
+    """Open a bare relay and a balancer whose packets all end in the sink."""
+    loop = asyncio.get_running_loop()
+    relay, _ = await loop.create_datagram_endpoint(
+        lambda: _BareRelay(sink), local_addr=_LOOPBACK
+    )
+    service, fleet = await _async_balancer(sink)
+    owner = routing_token(companion=Endpoint(*sink))
+    mint = TokenMint(token_keys(), owner)
+    established = [_short(mint.mint()) for _ in range(FLOWS)]
+    returned = Encapsulation(FLEET_KEY).encode_returned(
+        ReturnedPacket(1, 1, Endpoint(*sink).pack(), bytes(PACKET_BYTES))
+    )
+    plain = bytes(PACKET_BYTES)
+    return [
+        _Lane("bare", relay.get_extra_info("sockname"), lambda: plain),
+        _Lane("forward", service, lambda: rng.choice(established)),
+        _Lane("return", fleet, lambda: returned),
+        _Lane("opening", service, lambda: _opening(rng.randbytes(8))),
+    ]
+
+
+async def _async_balancer(
+    sink: tuple[str, int],
+) -> tuple[tuple[str, int], tuple[str, int]]:
+    """Open the sockets of a balancer; return where service and fleet enter."""
+    loop = asyncio.get_running_loop()
+    servers = tuple(
+        attrs.evolve(server, packets=Endpoint(*sink))
+        for server in configuration().services[0].backend_servers
+    )
+    in_force = configuration(servers=servers)
+    roster = Roster()
+    roster.configure(in_force)
+    forwarder = Forwarder(TokenReader(token_keys()), roster, RendezvousRanking())
+    forwarder.configure(in_force)
+    encapsulation = Encapsulation(FLEET_KEY)
+    watch = VersionWatch(lambda: 1, lambda version, sender: None)
+    fleet = FleetSocket(encapsulation, watch, NoOpMeter("fleet"))
+    fleet_transport, _ = await loop.create_datagram_endpoint(
+        lambda: fleet, local_addr=_LOOPBACK
+    )
+    service = ServiceSocket(
+        1,
+        Endpoint(*fleet_transport.get_extra_info("sockname")),
+        forwarder,
+        encapsulation,
+        lambda: 1,
+        fleet.send,
+        NoOpMeter("service"),
+    )
+    service_transport, _ = await loop.create_datagram_endpoint(
+        lambda: service, local_addr=_LOOPBACK
+    )
+    fleet.add_service(1, service)
+    return (
+        service_transport.get_extra_info("sockname"),
+        fleet_transport.get_extra_info("sockname"),
+    )
+
+
+def _short(connection_id: bytes) -> bytes:
+    """Return a packet of an established flow."""
+    return (b"\x40" + connection_id).ljust(PACKET_BYTES, b"\0")
+
+
+def _opening(connection_id: bytes) -> bytes:
+    """Return something with the shape of an opening packet."""
+    head = b"\xc0\x00\x00\x00\x01" + bytes([len(connection_id)]) + connection_id
+    return head.ljust(PACKET_BYTES, b"\0")
