Configuration in parts, deltas, and parsing only what changed

Ruled out: one compressed value (fits, 0.3 MB, but operators could not read it and every change would still be parsed whole); a shorter form of each entry (575 KB at best, the same parse); moving the roster to the list of VMs (it lags, and has no versions). Splitting at lines of one document is fragile in YAML; lines of --- are not allowed inside a document, so splitting a stream there is exact.

Now a root lists parts by digest, each part is a value of its own, and a part that was seen before keeps its objects. A delta matches parts, then lines, and its result is checked by digest. The roster keeps the candidates of services that are the same object.

With the digest check removed from apply_delta, test_wrong_base_is_never_taken and with the comparison of listed parts removed, test_other_part_is_refused are the checks on it.

--- a/harness/builders.py
+++ b/harness/builders.py
@@ -121,3 +121,56 @@
         **changes,
     }
     return yaml.safe_dump(content)
+
+
+def large_document(
+    version: int = 1, servers: int = 100, balancers: int = 10, zones: int = 14
+) -> dict[str, Any]:
+    """Return a document with ten backend servers for each service."""
+    names = [f"zone-{number:02}" for number in range(zones)]
+    return {
+        "version": version,
+        "zones": [
+            {"name": name, "number": number + 1, "region": f"region-{number % 4}"}
+            for number, name in enumerate(names)
+        ],
+        "balancers": [
+            {
+                "name": f"balancer-{number:04}",
+                "zone": names[number % zones],
+                **_addresses(200, number),
+            }
+            for number in range(balancers)
+        ],
+        "services": [
+            {
+                "name": f"service-{first // 10:04}",
+                "number": first // 10 + 1,
+                "classes": [
+                    {
+                        "name": "read",
+                        "method": "GET",
+                        "path": "/read",
+                        "target": {"within": "300 ms", "share": 0.99},
+                    }
+                ],
+                "backend_servers": [
+                    {
+                        "name": f"server-{number:05}",
+                        "zone": names[number % zones],
+                        **_addresses(100, number),
+                        "slots": 5,
+                        "connections": 2000,
+                    }
+                    for number in range(first, min(first + 10, servers))
+                ],
+            }
+            for first in range(0, servers, 10)
+        ],
+    }
+
+
+def _addresses(network: int, number: int) -> dict[str, str]:
+    """Return the addresses of the process with a number."""
+    host = f"10.{network + (number >> 16)}.{number >> 8 & 255}.{number & 255}"
+    return {"packets": f"{host}:7000", "control": f"{host}:7001"}
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/const.py
@@ -4,6 +4,8 @@
 from typing import Final
 
 MAX_DOCUMENT_BYTES: Final = 1_000_000
+MAX_STREAM_BYTES: Final = 16_000_000
+DIGEST_BYTES: Final = 16
 MAX_ZONE_NUMBER: Final = 255
 MAX_SERVICE_NUMBER: Final = 65_535
 LONG_POLL: Final = timedelta(seconds=30)
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
@@ -12,7 +12,7 @@
 
 from .const import SERVICE_RETRY_MAX, SERVICE_RETRY_MIN
 from .document import Configuration
-from .parser import parse_configuration
+from .parser import ConfigurationParser
 from .source import ConfigurationSource, Document
 
 _LOGGER = get_logger("configuration")
@@ -27,13 +27,20 @@
     is in force never reverts, whatever a source serves.
     """
 
-    def __init__(self, clock: Clock, recorder: Recorder, rng: random.Random) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        recorder: Recorder,
+        rng: random.Random,
+        parser: ConfigurationParser | None = None,
+    ) -> None:
         """Start with no configuration in force."""
+        self._parser = parser or ConfigurationParser()
         self._clock = clock
         self._recorder = recorder
         self._rng = rng
         self._current: Configuration | None = None
-        self._text = ""
+        self._document: Document | None = None
         self._listeners: list[Listener] = []
         self._first = asyncio.Event()
 
@@ -45,9 +52,7 @@
     @property
     def document(self) -> Document | None:
         """Return the document in force as it was published."""
-        if self._current is None:
-            return None
-        return Document(self._current.version, self._text)
+        return self._document
 
     @property
     def version(self) -> int:
@@ -70,7 +75,7 @@
         """Check a document and adopt it if its version is higher."""
         if document.version <= self.version:
             return False
-        match parse_configuration(document.text, source):
+        match self._parser.parse(document.text, source):
             case Err(error):
                 _LOGGER.warning("%s", error)
                 self._recorder.record(
@@ -78,14 +83,16 @@
                 )
                 return False
             case Ok(configuration):
-                return self._adopt(configuration, document.text, source)
+                return self._adopt(configuration, document, source)
 
-    def _adopt(self, configuration: Configuration, text: str, source: str) -> bool:
+    def _adopt(
+        self, configuration: Configuration, document: Document, source: str
+    ) -> bool:
         """Put a checked configuration in force."""
         if configuration.version <= self.version:
             return False
         self._current = configuration
-        self._text = text
+        self._document = document
         self._recorder.record(
             EventKind.CONFIGURATION_IN_FORCE,
             detail=f"version {configuration.version} from {source}",
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/errors.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/errors.py
@@ -27,3 +27,18 @@
             f"{self.source} gave no configuration ({self.problem}); "
             "the version in force stays, and the source is asked again"
         )
+
+
+@attrs.frozen
+class DeltaError:
+    """A delta that did not give the published document."""
+
+    version: int
+    problem: str
+
+    def __str__(self) -> str:
+        """Name the version and what happens next."""
+        return (
+            f"delta to version {self.version} refused: {self.problem}; "
+            "the whole document is fetched instead"
+        )
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/source.py
@@ -1,20 +1,30 @@
 """Where configuration comes from, as an interface."""
 
 import abc
+from functools import cached_property
 
 import attrs
 from result import Result
 
 from .errors import SourceError
+from .stream import text_digest
 
 
-@attrs.frozen
+@attrs.frozen(slots=False)
 class Document:
-    """A document as a source gave it, not yet checked."""
+    """A document as a source gave it, not yet checked.
+
+    ``text`` is the whole stream: the root document and its parts.
+    """
 
     version: int
     text: str
 
+    @cached_property
+    def digest(self) -> bytes:
+        """Return the digest by which two copies are compared."""
+        return text_digest(self.text)
+
 
 class ConfigurationSource(abc.ABC):
     """A source that is asked for a version newer than the one in force."""
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/spread_grpc.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/spread_grpc.py
@@ -15,7 +15,15 @@
 class SpreadBase(abc.ABC):
 
     @abc.abstractmethod
-    async def Follow(self, stream: 'grpclib.server.Stream[pomelotrail_core.configuration.spread_pb2.FollowRequest, pomelotrail_core.configuration.spread_pb2.ConfigurationMessage]') -> None:
+    async def Follow(self, stream: 'grpclib.server.Stream[pomelotrail_core.configuration.spread_pb2.FollowRequest, pomelotrail_core.configuration.spread_pb2.SpreadMessage]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Fetch(self, stream: 'grpclib.server.Stream[pomelotrail_core.configuration.spread_pb2.FetchRequest, pomelotrail_core.configuration.spread_pb2.SpreadMessage]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Report(self, stream: 'grpclib.server.Stream[pomelotrail_core.configuration.spread_pb2.SuspicionReport, pomelotrail_core.configuration.spread_pb2.ReportReply]') -> None:
         pass
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
@@ -24,7 +32,19 @@
                 self.Follow,
                 grpclib.const.Cardinality.UNARY_STREAM,
                 pomelotrail_core.configuration.spread_pb2.FollowRequest,
-                pomelotrail_core.configuration.spread_pb2.ConfigurationMessage,
+                pomelotrail_core.configuration.spread_pb2.SpreadMessage,
+            ),
+            '/pomelotrail.configuration.Spread/Fetch': grpclib.const.Handler(
+                self.Fetch,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pomelotrail_core.configuration.spread_pb2.FetchRequest,
+                pomelotrail_core.configuration.spread_pb2.SpreadMessage,
+            ),
+            '/pomelotrail.configuration.Spread/Report': grpclib.const.Handler(
+                self.Report,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pomelotrail_core.configuration.spread_pb2.SuspicionReport,
+                pomelotrail_core.configuration.spread_pb2.ReportReply,
             ),
         }
 
@@ -36,5 +56,17 @@
             channel,
             '/pomelotrail.configuration.Spread/Follow',
             pomelotrail_core.configuration.spread_pb2.FollowRequest,
-            pomelotrail_core.configuration.spread_pb2.ConfigurationMessage,
+            pomelotrail_core.configuration.spread_pb2.SpreadMessage,
+        )
+        self.Fetch = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pomelotrail.configuration.Spread/Fetch',
+            pomelotrail_core.configuration.spread_pb2.FetchRequest,
+            pomelotrail_core.configuration.spread_pb2.SpreadMessage,
+        )
+        self.Report = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pomelotrail.configuration.Spread/Report',
+            pomelotrail_core.configuration.spread_pb2.SuspicionReport,
+            pomelotrail_core.configuration.spread_pb2.ReportReply,
         )
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/tests/test_parts.py
@@ -0,0 +1,84 @@
+"""Tests of documents in parts and of deltas between versions."""
+
+import unittest
+
+import yaml
+from hypothesis import given
+from hypothesis import strategies as st
+
+from harness.builders import large_document
+from pomelotrail_core.configuration import parse_configuration
+from pomelotrail_core.configuration.delta import apply_delta, make_delta
+from pomelotrail_core.configuration.parser import ConfigurationParser
+from pomelotrail_core.configuration.publishing import make_parts
+from pomelotrail_core.configuration.source import Document
+
+_LINES = st.lists(st.sampled_from(["a: 1\n", "b: ü\n", "---\n", "x", ""]), max_size=12)
+
+
+class PartsTest(unittest.TestCase):
+    """A document in parts says the same as the one it was made of."""
+
+    def test_same_configuration(self) -> None:
+        """Parts change nothing that is in force."""
+        content = large_document(3, servers=40, balancers=6)
+        whole = parse_configuration(yaml.safe_dump(content)).unwrap()
+        parted = make_parts(content, part_bytes=1_000)
+        self.assertGreater(len(parted.parts), 3)
+        self.assertEqual(parse_configuration(parted.text).unwrap(), whole)
+
+    def test_other_part_is_refused(self) -> None:
+        """A part that the root does not list refuses the whole."""
+        parted = make_parts(large_document(3, servers=40), part_bytes=1_000)
+        text = parted.text.replace("slots: 5", "slots: 6", 1)
+        error = parse_configuration(text).unwrap_err()
+        self.assertIn("publish every part before the root", str(error))
+
+    def test_unchanged_parts_keep_their_objects(self) -> None:
+        """A change parses only the parts that it touches."""
+        parser = ConfigurationParser()
+        content = large_document(1, servers=40)
+        first = parser.parse(make_parts(content, 1_000).text).unwrap()
+        content["version"] = 2
+        content["services"][0]["backend_servers"][0]["slots"] = 9
+        second = parser.parse(make_parts(content, 1_000).text).unwrap()
+        self.assertNotEqual(first.services[0], second.services[0])
+        self.assertIs(first.services[-1], second.services[-1])
+
+
+class DeltaTest(unittest.TestCase):
+    """A delta gives the published document or an error."""
+
+    @given(_LINES, _LINES, _LINES)
+    def test_delta_gives_the_target(
+        self, base: list[str], middle: list[str], target: list[str]
+    ) -> None:
+        """Any two texts have a delta between them."""
+        old = Document(1, "".join([*base, *middle]))
+        new = Document(2, "".join([*middle, *target]))
+        delta = make_delta(old.text, new.text)
+        made = apply_delta(old, delta, new.version, new.digest).unwrap()
+        self.assertEqual(made.text, new.text)
+
+    @given(_LINES, _LINES, _LINES)
+    def test_wrong_base_is_never_taken(
+        self, base: list[str], other: list[str], target: list[str]
+    ) -> None:
+        """On another base a delta gives the target all the same, or an error."""
+        new = Document(2, "".join(target))
+        delta = make_delta("".join(base), new.text)
+        made = apply_delta(Document(1, "".join(other)), delta, 2, new.digest)
+        self.assertTrue(made.is_err() or made.unwrap().text == new.text)
+
+    def test_broken_delta(self) -> None:
+        """Bytes that are no delta are an error that names what comes next."""
+        error = apply_delta(Document(1, "a"), b"junk", 2, b"").unwrap_err()
+        self.assertIn("the whole document is fetched", str(error))
+
+    def test_small_change_of_a_large_document(self) -> None:
+        """One changed server costs some hundred bytes, not the document."""
+        content = large_document(1, servers=1_000)
+        base = make_parts(content).text
+        content["version"] = 2
+        content["services"][50]["backend_servers"][3]["out"] = True
+        self.assertLess(len(make_delta(base, make_parts(content).text)), 500)
--- a/packages/pomelotrail-core/pomelotrail_core/endpoint.py
+++ b/packages/pomelotrail-core/pomelotrail_core/endpoint.py
@@ -27,7 +27,7 @@
         )
 
 
-@attrs.frozen(order=True)
+@attrs.frozen(order=True, cache_hash=True)
 class Endpoint:
     """An address of a process, for example ``Endpoint("192.0.2.7", 4433)``."""
 
--- a/packages/pomelotrail-core/pomelotrail_core/membership/roster.py
+++ b/packages/pomelotrail-core/pomelotrail_core/membership/roster.py
@@ -1,6 +1,11 @@
 """The companions and balancers that the configuration in force names."""
 
-from pomelotrail_core.configuration import BackendServer, Balancer, Configuration
+from pomelotrail_core.configuration import (
+    BackendServer,
+    Balancer,
+    Configuration,
+    Service,
+)
 from pomelotrail_core.routing import Candidate
 
 
@@ -16,6 +21,9 @@
         self._configuration: Configuration | None = None
         self._suspected: frozenset[str] = frozenset()
         self._candidates: dict[int, tuple[Candidate, ...]] = {}
+        self._known: dict[int, tuple[Service, tuple[Candidate, ...]]] = {}
+        self._decided_by: tuple[frozenset[str], frozenset[str]] | None = None
+        self._packed_from: tuple[Balancer, ...] = ()
         self._packed_balancers: tuple[bytes, ...] = ()
 
     @property
@@ -38,7 +46,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Take over a new version."""
         self._configuration = configuration
-        self._packed_balancers = tuple(each.packets.pack() for each in self.balancers)
+        self._pack_balancers()
         self._rebuild()
 
     def suspect(self, names: frozenset[str]) -> None:
@@ -50,14 +58,30 @@
         """Return the companions that may take new flows of a service."""
         return self._candidates.get(service_number, ())
 
+    def _pack_balancers(self) -> None:
+        """Pack the addresses of the balancers, unless they are the same."""
+        balancers = self.balancers
+        if balancers != self._packed_from:
+            self._packed_from = balancers
+            self._packed_balancers = tuple(each.packets.pack() for each in balancers)
+
     def _rebuild(self) -> None:
         """Work out the candidates of every service."""
         if self._configuration is None:
             return
-        self._candidates = {
-            service.number: self._eligible(service.backend_servers)
+        decided_by = (self._configuration.zones_out, self._suspected)
+        if decided_by != self._decided_by:
+            self._decided_by = decided_by
+            self._known = {}
+        # An unchanged service is the same object in the next version.
+        self._known = {
+            id(service): self._known.get(id(service))
+            or (service, self._eligible(service.backend_servers))
             for service in self._configuration.services
         }
+        self._candidates = {
+            service.number: candidates for service, candidates in self._known.values()
+        }
 
     def _eligible(self, servers: tuple[BackendServer, ...]) -> tuple[Candidate, ...]:
         """Return the candidates; all suspected ones only if no other is left."""
