--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -27,7 +27,7 @@
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
-from .admission import AdmissionGate
+from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
 from .edge import ConnectionLimit, QuicEdge
@@ -57,6 +57,7 @@
         self._draining = DrainingState(process.name, process.zone, self._recorder)
         self._roster = Roster()
         self._edge: QuicEdge | None = None
+        self._scheduler: Scheduler | None = None
         self._control = ControlServer(
             process.control,
             [
@@ -162,7 +163,11 @@
         service = configuration.service(self._settings.service)
         server = _own_server(service, self._settings.process.name)
         assert server is not None
-        gate = AdmissionGate(server.slots, backend)
+        limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
+        self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        gate = AdmissionGate(
+            self._scheduler, backend, self._clock, self._recorder, random.Random()
+        )
         return Dispatcher(
             self._settings.service,
             self._coordinator,
@@ -182,7 +187,8 @@
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
         flows = self._edge.flow_count if self._edge is not None else 0
-        return {"flows": float(flows)}
+        admission = {} if self._scheduler is None else self._scheduler.figures()
+        return {"flows": float(flows), **admission}
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
