--- a/harness/demo.py
+++ b/harness/demo.py
@@ -1,5 +1,6 @@
 """The demo: a whole fleet on loopback that loses a balancer on the way."""
 
+import argparse
 import asyncio
 import json
 import sys
@@ -8,6 +9,7 @@
 from typing import Any, Final
 
 from harness.fleet import Fleet
+from harness.keep import async_keep
 from harness.process import BINARIES
 from harness.specification import KESAR_TIDEWATER
 
@@ -29,7 +31,17 @@
 
 def main() -> None:
     """Run the demo and exit with 0 if every class was served."""
-    sys.exit(asyncio.run(_async_demo()))
+    parser = argparse.ArgumentParser(
+        prog="script/demo", description="Show a whole fleet on loopback."
+    )
+    parser.add_argument(
+        "--keep",
+        action="store_true",
+        help="keep serving until Ctrl-C, and say how to operate the fleet by hand",
+    )
+    arguments = parser.parse_args()
+    run = async_keep if arguments.keep else _async_demo
+    sys.exit(asyncio.run(run()))
 
 
 async def _async_demo() -> int:
--- /dev/null
+++ b/harness/publish.py
@@ -0,0 +1,76 @@
+"""Publishes a document at the stand-in for the configuration service.
+
+The platform has its own means to publish; the system itself never writes. This
+is what an operator of the demo uses instead::
+
+    script/publish .demo/document.yaml
+"""
+
+import argparse
+import asyncio
+import sys
+from pathlib import Path
+
+import aiohttp
+import yaml
+from result import Err, Ok
+
+from harness.keep import DIRECTORY
+from pomelotrail_core.command_line import argument_endpoint
+from pomelotrail_core.configuration import parse_configuration
+from pomelotrail_core.configuration.const import VERSION_HEADER
+from pomelotrail_core.endpoint import Endpoint
+
+
+def main() -> None:
+    """Check a document, publish it and exit with 0 if that was possible."""
+    parser = argparse.ArgumentParser(
+        prog="script/publish", description="Publish a document in the demo."
+    )
+    parser.add_argument("file", type=Path, help="document (YAML)")
+    parser.add_argument(
+        "--service",
+        type=argument_endpoint,
+        help="address of the stand-in; that of script/demo --keep if left out",
+    )
+    arguments = parser.parse_args()
+    endpoint = arguments.service or _demo_service()
+    if endpoint is None:
+        sys.exit("no demo is running; start script/demo --keep, or give --service")
+    text = arguments.file.read_text()
+    match parse_configuration(text, str(arguments.file)):
+        case Err(error):
+            sys.exit(str(error))
+        case Ok(configuration):
+            version = configuration.version
+    sys.exit(asyncio.run(_async_publish(text, version, endpoint)))
+
+
+def _demo_service() -> Endpoint | None:
+    """Return the address that the running demo uses."""
+    path = DIRECTORY / "configuration-service.yaml"
+    if not path.exists():
+        return None
+    return Endpoint.parse(yaml.safe_load(path.read_text())["address"]).unwrap()
+
+
+async def _async_publish(text: str, version: int, endpoint: Endpoint) -> int:
+    """Publish a document at the stand-in."""
+    url = f"http://{endpoint}/admin/document"
+    try:
+        async with aiohttp.ClientSession() as session:
+            await session.put(
+                url,
+                data=text,
+                headers={VERSION_HEADER: str(version)},
+                raise_for_status=True,
+            )
+    except aiohttp.ClientError as error:
+        print(f"{endpoint}: {error}; check that the demo still runs", file=sys.stderr)
+        return 1
+    print(f"published version {version}")
+    return 0
+
+
+if __name__ == "__main__":
+    main()
--- a/stand_ins/caller/__main__.py
+++ b/stand_ins/caller/__main__.py
@@ -1,7 +1,8 @@
 """Runs callers: ``python -m stand_ins.caller SETTINGS``.
 
 Every caller keeps a board open and sends the listed requests in turn until the
-given time is over; the last line printed is a summary as JSON.
+given time is over; the last line printed is a summary as JSON. With
+``reconnect`` in the settings a caller whose flow broke opens another.
 """
 
 import asyncio
@@ -35,22 +36,33 @@
 
 async def _async_call(settings: dict, service: dict, served: Counter[str]) -> None:
     """Run one caller of a service."""
-    address = Endpoint.parse(service["address"]).unwrap()
     loop = asyncio.get_running_loop()
     end = loop.time() + settings["seconds"]
-    try:
-        async with async_connect(address.host, address.port) as caller:
-            board = caller.open("GET", service["board"]) if "board" in service else None
-            while loop.time() < end:
-                for request in service["requests"]:
-                    await _async_send(caller, request, served)
-                await asyncio.sleep(settings["pause_seconds"])
-            if board is not None:
-                before = len(board.body)
-                await board.async_bytes(before + 1)
-                served["board kept open"] += 1
-    except (FlowLost, ConnectionError):
-        served["broken flows"] += 1
+    while loop.time() < end:
+        try:
+            await _async_call_on_flow(settings, service, served, end)
+        except (FlowLost, ConnectionError):
+            served["broken flows"] += 1
+            if not settings.get("reconnect", False):
+                return
+
+
+async def _async_call_on_flow(
+    settings: dict, service: dict, served: Counter[str], end: float
+) -> None:
+    """Send the requests on one flow until the time is over."""
+    address = Endpoint.parse(service["address"]).unwrap()
+    loop = asyncio.get_running_loop()
+    async with async_connect(address.host, address.port) as caller:
+        board = caller.open("GET", service["board"]) if "board" in service else None
+        while loop.time() < end:
+            for request in service["requests"]:
+                await _async_send(caller, request, served)
+            await asyncio.sleep(settings["pause_seconds"])
+        if board is not None:
+            before = len(board.body)
+            await board.async_bytes(before + 1)
+            served["board kept open"] += 1
 
 
 async def _async_run(settings: dict) -> None:
