--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -26,7 +26,7 @@
 from pomelotrail_core.timeline.service import TimelineService
 
 from .admission import AdmissionGate
-from .backend import BackendClient
+from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
 from .edge import PacketSocket, QuicEdge
 from .edge.quic_edge import quic_configuration
@@ -78,11 +78,19 @@
         await self._control.async_start()
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
-        async with aiohttp.ClientSession(auto_decompress=False) as session:
+        async with (
+            aiohttp.ClientSession() as session,
+            open_backend_session(is_reusing_connections=True) as kept,
+            open_backend_session(is_reusing_connections=False) as fresh,
+        ):
             source = ServiceSource(process.configuration_service, session)
             following = asyncio.create_task(self._coordinator.async_follow(source))
             configuration = await self._async_wait_listed()
-            await self._async_open_edge(configuration, session)
+            backend = BackendClient(
+                self._settings.backend_server, kept, self._clock, fresh
+            )
+            handler = self._handler(configuration, backend)
+            await self._async_open_edge(configuration, handler)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
@@ -108,7 +116,7 @@
         )
 
     async def _async_open_edge(
-        self, configuration: Configuration, session: aiohttp.ClientSession
+        self, configuration: Configuration, handler: RequestHandler
     ) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
@@ -135,7 +143,7 @@
                 str(self._settings.certificate), str(self._settings.private_key)
             ),
             TokenMint(process.token_keys, token),
-            self._handler(server, session),
+            handler,
             packet_socket.return_to_caller,
             lambda: self._roster.packed_balancers,
             self._clock,
@@ -147,10 +155,12 @@
         )
 
     def _handler(
-        self, server: BackendServer, session: aiohttp.ClientSession
+        self, configuration: Configuration, backend: BackendClient
     ) -> RequestHandler:
         """Return the steps that each request passes."""
-        backend = BackendClient(self._settings.backend_server, session, self._clock)
+        service = configuration.service(self._settings.service)
+        server = _own_server(service, self._settings.process.name)
+        assert server is not None
         gate = AdmissionGate(server.slots, backend)
         return Dispatcher(
             self._settings.service,
