Every request's end is recorded with its cause and counted by class

Cause: refusals stood on the time line as 'request answered, status 503' without a reason, requests of no class left no trace, and no metric told whether the targets are met. The time counts until the whole answer, for streams until the head.

--- a/harness/publish.py
+++ b/harness/publish.py
@@ -16,8 +16,8 @@
 from result import Err, Ok
 
 from harness.keep import DIRECTORY
+from pomelotrail_balancer.operators.document_file import read_document
 from pomelotrail_core.command_line import argument_endpoint
-from pomelotrail_core.configuration import parse_configuration
 from pomelotrail_core.configuration.const import VERSION_HEADER
 from pomelotrail_core.endpoint import Endpoint
 
@@ -37,13 +37,12 @@
     endpoint = arguments.service or _demo_service()
     if endpoint is None:
         sys.exit("no demo is running; start script/demo --keep, or give --service")
-    text = arguments.file.read_text()
-    match parse_configuration(text, str(arguments.file)):
+    match read_document(arguments.file):
         case Err(error):
             sys.exit(str(error))
-        case Ok(configuration):
-            version = configuration.version
-    sys.exit(asyncio.run(_async_publish(text, version, endpoint)))
+        case Ok(document):
+            version = document.configuration.version
+    sys.exit(asyncio.run(_async_publish(document.text, version, endpoint)))
 
 
 def _demo_service() -> Endpoint | None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/sentences.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/sentences.py
@@ -19,6 +19,7 @@
     EventKind.REQUEST_STARTED: "got request {request}",
     EventKind.REQUEST_ANSWERED: "answered request {request}",
     EventKind.REQUEST_REFUSED: "refused request {request}",
+    EventKind.REQUEST_BROKEN: "could not answer request {request} whole",
     EventKind.REQUEST_RELAYED: "relayed request {request}",
     EventKind.TICKET_FENCED: "made sure that request {request} never runs",
     EventKind.TICKET_DELEGATED: "handed the ticket of request {request} over",
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/story.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/story.py
@@ -15,7 +15,11 @@
 MAX_CHOICES: Final = 10
 CONTEXT_EVENTS: Final = 3
 
-_ENDS: Final = (EventKind.REQUEST_ANSWERED, EventKind.REQUEST_REFUSED)
+_ENDS: Final = (
+    EventKind.REQUEST_ANSWERED,
+    EventKind.REQUEST_REFUSED,
+    EventKind.REQUEST_BROKEN,
+)
 _NEEDS_CAUSE: Final = (
     EventKind.REQUEST_REFUSED,
     EventKind.FLOW_REFUSED,
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline.py
@@ -71,7 +71,7 @@
         return "".join(json.dumps(_data(entry)) + "\n" for entry in entries)
     lines = [process_line(process) for process in gathered.timeline.processes]
     lines += [f"# {name}  gave no answer" for name in gathered.silent_names]
-    lines += [event_line(entry) for entry in entries]
+    lines += [event_line(entry, gathered.timeline) for entry in entries]
     return "".join(f"{line}\n" for line in lines)
 
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline_text.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline_text.py
@@ -2,7 +2,13 @@
 
 from datetime import timedelta
 
-from pomelotrail_core.timeline import ClockEstimate, MergedEvent, ProcessEvents
+from pomelotrail_core.timeline import (
+    ClockEstimate,
+    Event,
+    MergedEvent,
+    ProcessEvents,
+    Timeline,
+)
 
 _MILLISECOND = timedelta(milliseconds=1)
 _PROCESS_COLUMNS = 28
@@ -25,7 +31,7 @@
     return f"clock {offset:+.1f} ms (±{bound:.1f} ms)"
 
 
-def event_line(entry: MergedEvent) -> str:
+def event_line(entry: MergedEvent, timeline: Timeline) -> str:
     """Return one event; characters that a terminal would obey are escaped."""
     event = entry.event
     subject = event.request or event.flow
@@ -35,11 +41,25 @@
         event.kind.value.ljust(_KIND_COLUMNS),
         plain(subject),
         plain(event.detail),
-        f"because of {plain(event.cause)}" if event.cause else "",
+        _cause_text(event, timeline),
     ]
     return "  ".join(part for part in parts if part).rstrip()
 
 
+def _cause_text(event: Event, timeline: Timeline) -> str:
+    """Return the cause in words, unless it is an earlier step of the same request."""
+    if not event.cause:
+        return ""
+    entry = timeline.by_identifier.get(event.cause)
+    if entry is None:
+        return f"because of {plain(event.cause)}"
+    cause = entry.event
+    if cause.request and cause.request == event.request:
+        return ""
+    detail = f" ({plain(cause.detail)})" if cause.detail else ""
+    return f"because of {cause.kind.value}{detail}"
+
+
 def time_text(entry: MergedEvent) -> str:
     """Return the corrected time of an event."""
     return entry.at.strftime("%H:%M:%S.%f")
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -31,6 +31,7 @@
 from .edge import PacketSocket, QuicEdge
 from .edge.quic_edge import quic_configuration
 from .requests import Dispatcher, RequestHandler
+from .requests.accounting import RequestAccounting
 from .settings import CompanionSettings
 
 _LOGGER = get_logger("companion")
@@ -52,6 +53,7 @@
         self._coordinator = ConfigurationCoordinator(
             clock, self._recorder, random.Random()
         )
+        self._accounting = RequestAccounting(self._metrics.meter("requests"))
         self._draining = DrainingState(process.name, process.zone, self._recorder)
         self._roster = Roster()
         self._edge: QuicEdge | None = None
@@ -168,6 +170,7 @@
             self._clock,
             self._recorder,
             gate,
+            self._accounting,
         )
 
     async def _async_leave(self) -> None:
@@ -181,7 +184,7 @@
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
         flows = self._edge.flow_count if self._edge is not None else 0
-        return {"flows": float(flows)}
+        return {"flows": float(flows), **self._accounting.figures}
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/dispatcher.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/dispatcher.py
@@ -4,11 +4,13 @@
 
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.configuration import ConfigurationCoordinator, RequestClass
-from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline import Recorder
 
+from .accounting import RequestAccounting
 from .body_limit import async_limited, is_declared_too_large
 from .errors import BodyTooLarge
 from .handler import RequestHandler
+from .journal import RequestJournal
 from .messages import Answer, Request
 from .proof import prove_by_contact
 from .refusals import Outcome, Refusal, RefusalKind, confirm, refuse
@@ -28,39 +30,32 @@
         clock: Clock,
         recorder: Recorder,
         next_handler: RequestHandler,
+        accounting: RequestAccounting | None = None,
     ) -> None:
         """Dispatch for one service."""
         self._service = service
         self._coordinator = coordinator
         self._clock = clock
-        self._recorder = recorder
         self._next = next_handler
+        self._journal = RequestJournal(clock, recorder, accounting)
 
     async def async_handle(self, request: Request) -> Answer:
         """Answer a request, recording its start and its end."""
         request_class = self._request_class(request)
-        if request_class is None:
-            return refuse(Refusal(RefusalKind.UNKNOWN_CLASS, Outcome.NOT_RUN))
-        started = self._recorder.record(
-            EventKind.REQUEST_STARTED,
-            flow=request.flow,
-            request=request.identifier,
-            detail=request_class.name,
-        )
-        answer = await self._async_answer(request, request_class)
-        self._recorder.record(
-            EventKind.REQUEST_ANSWERED,
-            flow=request.flow,
-            request=request.identifier,
-            cause=started,
-            detail=_describe(answer),
-        )
-        return answer
+        entry = self._journal.begin(request, request_class)
+        try:
+            answer = await self._async_answer(request, request_class)
+        except BaseException:
+            self._journal.abandon(entry)
+            raise
+        return self._journal.finish(entry, answer)
 
     async def _async_answer(
-        self, request: Request, request_class: RequestClass
+        self, request: Request, request_class: RequestClass | None
     ) -> Answer:
         """Hand a request of a known class on, and confirm what comes back."""
+        if request_class is None:
+            return refuse(Refusal(RefusalKind.UNKNOWN_CLASS, Outcome.NOT_RUN))
         limit = request_class.body_limit
         if is_declared_too_large(request, limit):
             return refuse(Refusal(RefusalKind.BODY_TOO_LARGE, Outcome.NOT_RUN))
@@ -86,11 +81,3 @@
         if service is None:
             return None
         return service.request_class(request.method, request.path.partition("?")[0])
-
-
-def _describe(answer: Answer) -> str:
-    """Return the detail of an answer for the time line."""
-    if answer.refusal is None:
-        return f"status {answer.status}"
-    refusal = answer.refusal
-    return f"status {answer.status}, {refusal.kind.slug}, {refusal.outcome.value}"
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/journal.py
@@ -0,0 +1,156 @@
+"""Records what becomes of each request, on the time line and in the metrics."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from typing import Final
+
+import attrs
+
+from pomelotrail_core.clock import Clock
+from pomelotrail_core.configuration import RequestClass
+from pomelotrail_core.timeline import EventKind, Recorder
+
+from .accounting import RequestAccounting
+from .messages import Answer, Request
+from .refusals import Refusal, RefusalKind
+
+ANSWERED: Final = "answered"
+REFUSED: Final = "refused"
+BROKEN: Final = "broken"
+GIVEN_UP: Final = "given up"
+
+_LIMITS: Final = (
+    EventKind.BACKEND_SERVER_COLD,
+    EventKind.BACKEND_SERVER_WARM,
+    EventKind.LIMIT_CHANGED,
+)
+_ORDERS: Final = (EventKind.DRAINING, EventKind.ZONE_OUT)
+_CAUSES: Final = {
+    RefusalKind.OVERLOADED: _LIMITS,
+    RefusalKind.TOO_LATE: _LIMITS,
+    RefusalKind.SHED: _LIMITS,
+    RefusalKind.LEAVING: _ORDERS,
+    RefusalKind.UNKNOWN_CLASS: (EventKind.CONFIGURATION_IN_FORCE,),
+    RefusalKind.EXECUTOR_UNREACHABLE: (EventKind.SUSPECTED,),
+    RefusalKind.EXECUTOR_GONE: (EventKind.SUSPECTED,),
+}
+
+
+@attrs.frozen
+class RequestEntry:
+    """The journal's entry of one request that has started."""
+
+    request: Request
+    request_class: RequestClass | None
+    identifier: str
+    started: timedelta
+
+
+class RequestJournal:
+    """Records the start and the end of each request, and why it was refused."""
+
+    def __init__(
+        self, clock: Clock, recorder: Recorder, accounting: RequestAccounting | None
+    ) -> None:
+        """Record with the recorder, and count with ``accounting`` if given."""
+        self._clock = clock
+        self._recorder = recorder
+        self._accounting = accounting
+
+    def begin(
+        self, request: Request, request_class: RequestClass | None
+    ) -> RequestEntry:
+        """Record the start of a request."""
+        name = request_class.name if request_class else f"{request.method} of no class"
+        identifier = self._recorder.record(
+            EventKind.REQUEST_STARTED,
+            flow=request.flow,
+            request=request.identifier,
+            detail=name,
+        )
+        if self._accounting is not None:
+            self._accounting.begin()
+        return RequestEntry(request, request_class, identifier, self._clock.monotonic())
+
+    def abandon(self, entry: RequestEntry) -> None:
+        """Record that a request ended without any answer."""
+        self._record(entry, EventKind.REQUEST_BROKEN, entry.identifier, "no answer")
+        self._count(entry, BROKEN)
+
+    def finish(self, entry: RequestEntry, answer: Answer) -> Answer:
+        """Record the answer; return it with a body that records its end."""
+        if answer.refusal is not None:
+            self._refuse(entry, answer.refusal)
+            return answer
+        detail = f"status {answer.status}"
+        self._record(entry, EventKind.REQUEST_ANSWERED, entry.identifier, detail)
+        if entry.request_class is not None and entry.request_class.is_stream:
+            self._count(entry, ANSWERED)
+            return answer
+        return attrs.evolve(answer, body=self._async_follow(entry, answer.body))
+
+    def _refuse(self, entry: RequestEntry, refusal: Refusal) -> None:
+        """Record a refusal with its cause."""
+        status = f"status {refusal.kind.status}"
+        words = [status, refusal.kind.slug, refusal.outcome.value, refusal.detail]
+        detail = ", ".join(word for word in words if word)
+        cause = self._cause(refusal.kind) or entry.identifier
+        self._record(entry, EventKind.REQUEST_REFUSED, cause, detail)
+        if self._accounting is not None:
+            self._accounting.refused(refusal)
+        self._count(entry, REFUSED)
+
+    def _cause(self, kind: RefusalKind) -> str:
+        """Return the event that set what the request was refused for."""
+        if kind not in _CAUSES:
+            return ""
+        latest = self._recorder.latest(*_CAUSES[kind])
+        is_warm = latest == self._recorder.latest(EventKind.BACKEND_SERVER_WARM)
+        return "" if is_warm else latest
+
+    async def _async_follow(
+        self, entry: RequestEntry, body: AsyncIterator[bytes]
+    ) -> AsyncIterator[bytes]:
+        """Pass the body through and record how it ended."""
+        try:
+            async with _closing(body):
+                async for piece in body:
+                    yield piece
+        except (GeneratorExit, asyncio.CancelledError):
+            self._count(entry, GIVEN_UP)
+            raise
+        except BaseException as error:
+            detail = f"the answer broke off ({type(error).__name__})"
+            self._record(entry, EventKind.REQUEST_BROKEN, entry.identifier, detail)
+            self._count(entry, BROKEN)
+            raise
+        self._count(entry, ANSWERED)
+
+    def _record(
+        self, entry: RequestEntry, kind: EventKind, cause: str, detail: str
+    ) -> None:
+        """Record an event of a request."""
+        self._recorder.record(
+            kind,
+            flow=entry.request.flow,
+            request=entry.request.identifier,
+            cause=cause,
+            detail=detail,
+        )
+
+    def _count(self, entry: RequestEntry, result: str) -> None:
+        """Count the end of a request."""
+        if self._accounting is not None:
+            duration = self._clock.monotonic() - entry.started
+            self._accounting.end(entry.request_class, result, duration)
+
+
+def _closing(
+    body: AsyncIterator[bytes],
+) -> contextlib.AbstractAsyncContextManager[object]:
+    """Return a context that closes a body as soon as nobody reads it."""
+    if hasattr(body, "aclose"):
+        return contextlib.aclosing(body)
+    return contextlib.nullcontext()
--- a/packages/pomelotrail-core/pomelotrail_core/timeline/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/timeline/messages.py
@@ -21,6 +21,7 @@
     REQUEST_STARTED = "request started"
     REQUEST_ANSWERED = "request answered"
     REQUEST_REFUSED = "request refused"
+    REQUEST_BROKEN = "request broken"
     REQUEST_RELAYED = "request relayed"
     TICKET_FENCED = "ticket fenced"
     TICKET_DELEGATED = "ticket delegated"
