--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -8,6 +8,7 @@
 
 from pomelotrail_core.clock import Clock, SystemClock
 from pomelotrail_core.configuration import ConfigurationCoordinator, ServiceSource
+from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.metrics import Metrics
@@ -15,10 +16,11 @@
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
+from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
-from .forwarding import Forwarder, ServiceSocket
+from .forwarding import Forwarder, PacketCounter, ServiceSocket
 from .returns import FleetSocket
 from .settings import BalancerSettings, ListenAddress
 
@@ -42,8 +44,13 @@
         self._forwarder = Forwarder(
             TokenReader(process.token_keys), self._roster, RendezvousRanking()
         )
+        meter = self._metrics.meter("forwarding")
+        self._forwarded = PacketCounter(meter, "forwarded_packets", "service")
+        self._dropped = PacketCounter(meter, "dropped_packets")
         self._fleet_socket = FleetSocket(
-            self._encapsulation, self._metrics.meter("returns")
+            self._encapsulation,
+            VersionWatch(lambda: self._coordinator.version, self._newer_version_seen),
+            self._metrics.meter("returns"),
         )
         self._waiting: set[asyncio.Task[None]] = set()
         self._control = ControlServer(
@@ -83,6 +90,10 @@
         await self._control.async_stop()
         await self._metrics.async_stop()
 
+    def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
+        """Note that a peer has a version which this process has missed."""
+        _LOGGER.info("Version %d is in force at %s", version, sender)
+
     async def _async_listen(self) -> None:
         """Open the sockets for packets."""
         loop = asyncio.get_running_loop()
@@ -113,7 +124,8 @@
             self._encapsulation,
             lambda: self._coordinator.version,
             self._fleet_socket.send,
-            self._metrics.meter("forwarding"),
+            self._forwarded,
+            self._dropped,
         )
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: socket, local_addr=listen.address.socket_address
