Flows tell why they were not taken and how they ended

Cause: 'flow closed' hid broken flows among those that callers closed, and passing on named no reason. A flow that fell silent without a close is recorded as broken, unless its zone is out; passing on and refusing name the order or the event that set the limit; draining names the version or the signal. Every process counts its events by kind, so events_total{kind="flow broken"} is the users' first measure. Seams in edge, draining and the throttle; each a few lines.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -18,6 +18,7 @@
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
 from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
 
 from .forwarding import Forwarder, PacketCounter, ServiceSocket
@@ -39,6 +40,11 @@
         self._coordinator = ConfigurationCoordinator(
             clock, self._recorder, random.Random()
         )
+        observe_process(
+            self._metrics.meter("process"),
+            self._recorder,
+            lambda: self._coordinator.version,
+        )
         self._roster = Roster()
         self._encapsulation = Encapsulation(process.fleet_key)
         self._forwarder = Forwarder(
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/story.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/story.py
@@ -193,6 +193,8 @@
 
 def _flow_verdict(kinds: list[EventKind]) -> str:
     """Return how a flow ended."""
+    if EventKind.FLOW_BROKEN in kinds:
+        return "End: the flow broke"
     if EventKind.FLOW_CLOSED in kinds:
         return "End: the flow was closed"
     if EventKind.FLOW_OPENED in kinds:
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -25,6 +25,7 @@
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
 
 from .admission import AdmissionGate
@@ -57,6 +58,11 @@
         )
         self._accounting = RequestAccounting(self._metrics.meter("requests"))
         self._draining = DrainingState(process.name, process.zone, self._recorder)
+        observe_process(
+            self._metrics.meter("process"),
+            self._recorder,
+            lambda: self._coordinator.version,
+        )
         self._roster = Roster()
         self._edge: QuicEdge | None = None
         self._control = ControlServer(
@@ -176,8 +182,8 @@
 
     async def _async_leave(self) -> None:
         """Take no more work and close the flows."""
-        self._draining.stop()
         self._recorder.record(EventKind.PROCESS_STOPPING)
+        self._draining.stop()
         if self._edge is not None:
             self._edge.announce_leaving()
             self._edge.close_all()
--- a/packages/pomelotrail-companion/pomelotrail_companion/draining/state.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/state.py
@@ -67,4 +67,7 @@
             ServingState.LEAVING: EventKind.DRAINING,
             ServingState.ZONE_OUT: EventKind.ZONE_OUT,
         }
-        self._recorder.record(kinds[state], detail=state.value)
+        cause = self._recorder.latest(
+            EventKind.CONFIGURATION_IN_FORCE, EventKind.PROCESS_STOPPING
+        )
+        self._recorder.record(kinds[state], cause=cause, detail=state.value)
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/tests/test_causes.py
@@ -0,0 +1,32 @@
+"""Tests that orders are named as the causes of what a companion does."""
+
+import unittest
+
+from harness.builders import configuration
+from harness.fake_clock import FakeClock
+from pomelotrail_companion.draining import DrainingState
+from pomelotrail_core.timeline import EventKind, Recorder
+
+
+class DrainingCausesTest(unittest.TestCase):
+    """Leaving names the version or the signal that ordered it."""
+
+    def setUp(self) -> None:
+        """Follow the orders for a backend server."""
+        self.recorder = Recorder("ledger-1", "porbandar", FakeClock())
+        self.draining = DrainingState("ledger-1", "porbandar", self.recorder)
+
+    def test_zone_out_names_the_version(self) -> None:
+        """The version that took the zone out is the cause."""
+        version = self.recorder.record(EventKind.CONFIGURATION_IN_FORCE)
+        self.draining.configure(configuration(zones_out=frozenset({"porbandar"})))
+        event = self.recorder.events[-1]
+        self.assertIs(event.kind, EventKind.ZONE_OUT)
+        self.assertEqual(event.cause, version)
+
+    def test_shutdown_names_the_signal(self) -> None:
+        """The signal to stop is the cause, not an earlier version."""
+        self.recorder.record(EventKind.CONFIGURATION_IN_FORCE)
+        signal = self.recorder.record(EventKind.PROCESS_STOPPING)
+        self.draining.stop()
+        self.assertEqual(self.recorder.events[-1].cause, signal)
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/drops.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/drops.py
@@ -56,4 +56,6 @@
         """Count one dropped packet."""
         self._counts[reason] += 1
         self._counter.add(1, {"reason": reason.value})
-        self._events.record(EventKind.PACKET_DROPPED, detail=reason.value)
+        is_zone_out = reason is DropReason.ZONE_OUT
+        cause = self._events.latest(EventKind.ZONE_OUT) if is_zone_out else ""
+        self._events.record(EventKind.PACKET_DROPPED, cause=cause, detail=reason.value)
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/ending.py
@@ -0,0 +1,50 @@
+"""Records how flows end."""
+
+from typing import Final
+
+from aioquic.quic.events import ConnectionTerminated
+
+from pomelotrail_core.timeline import EventKind, Recorder
+
+# The phrase by which aioquic tells an idle timeout from a close.
+IDLE_PHRASE: Final = "Idle timeout"
+
+_STATES: Final = (EventKind.ZONE_OUT, EventKind.ZONE_BACK, EventKind.DRAINING)
+
+
+def record_ending(
+    recorder: Recorder, flow: str, termination: ConnectionTerminated | None
+) -> None:
+    """Record a flow as closed, given up with its zone, or broken.
+
+    A flow is broken when it fell silent without a close from either side
+    while its availability zone was in service.
+    """
+    zone_out = _zone_out(recorder)
+    if zone_out:
+        recorder.record(
+            EventKind.FLOW_CLOSED,
+            flow=flow,
+            cause=zone_out,
+            detail="given up with its availability zone",
+        )
+        return
+    if termination is not None and termination.reason_phrase == IDLE_PHRASE:
+        detail = "the caller or the path to it fell silent"
+        recorder.record(EventKind.FLOW_BROKEN, flow=flow, detail=detail)
+        return
+    recorder.record(EventKind.FLOW_CLOSED, flow=flow, detail=_describe(termination))
+
+
+def _zone_out(recorder: Recorder) -> str:
+    """Return the event by which the zone went out, if it is out."""
+    latest = recorder.latest(*_STATES)
+    return latest if latest == recorder.latest(EventKind.ZONE_OUT) else ""
+
+
+def _describe(termination: ConnectionTerminated | None) -> str:
+    """Return the error code and phrase of a close."""
+    if termination is None:
+        return ""
+    code = f"error code {termination.error_code:#x}"
+    return f"{code}, {termination.reason_phrase}".rstrip(", ")
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
@@ -84,12 +84,18 @@
         self._http = H3Connection(quic)
         self._bodies: dict[int, _Body] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._termination: ConnectionTerminated | None = None
 
     @property
     def name(self) -> str:
         """Return the name of the flow for events."""
         return self._name
 
+    @property
+    def termination(self) -> ConnectionTerminated | None:
+        """Return how the connection ended, or None while it is open."""
+        return self._termination
+
     @property
     def running_requests(self) -> int:
         """Return the number of requests without a whole answer."""
@@ -105,6 +111,7 @@
     def quic_event_received(self, event: QuicEvent) -> None:
         """Handle one event of the connection."""
         if isinstance(event, ConnectionTerminated):
+            self._termination = event
             self._end()
             return
         if isinstance(event, HandshakeCompleted):
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/packet_router.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/packet_router.py
@@ -1,6 +1,7 @@
 """Decides what becomes of a caller's packet at a companion."""
 
 import abc
+from typing import Final
 
 from result import Ok
 
@@ -17,6 +18,12 @@
 from .flow_admission import FlowAdmission
 from .pass_on import PassOn
 
+_ROOM_KINDS: Final = (
+    EventKind.BACKEND_SERVER_COLD,
+    EventKind.BACKEND_SERVER_WARM,
+    EventKind.LIMIT_CHANGED,
+)
+
 
 class Onward(abc.ABC):
     """The way to other companions."""
@@ -101,14 +108,21 @@
         if self._send_onward(packet, companion):
             if not is_known:
                 to = Endpoint.unpack(companion or b"")
-                self._events.record(
-                    EventKind.FLOW_PASSED_ON, flow=flow, detail=f"to {to}"
-                )
+                self._record(EventKind.FLOW_PASSED_ON, flow, f"to {to}")
             return
         self._edge.refuse(packet)
         if not is_known:
-            reason = f"last candidate, {self._draining.state.value}"
-            self._events.record(EventKind.FLOW_REFUSED, flow=flow, detail=reason)
+            self._record(EventKind.FLOW_REFUSED, flow, "last candidate")
+
+    def _record(self, kind: EventKind, flow: str, detail: str) -> None:
+        """Record why this companion did not take a flow."""
+        if self._draining.takes_new_flows:
+            reason = "it has no room for more flows"
+            cause = self._events.latest(*_ROOM_KINDS)
+        else:
+            reason = f"it is {self._draining.state.value}"
+            cause = self._events.latest(EventKind.DRAINING, EventKind.ZONE_OUT)
+        self._events.record(kind, flow=flow, cause=cause, detail=f"{detail}, {reason}")
 
     def _has_room(self) -> bool:
         """Tell whether a new flow is welcome."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
@@ -21,6 +21,7 @@
 
 from .caller_edge import CallerEdge, PacketVerdict
 from .const import ALPN_HTTP3, HANDSHAKE_TIMEOUT, IDLE_TIMEOUT, MIN_OPENING_BYTES
+from .ending import record_ending
 from .flow import Flow
 from .refusal import connection_refused
 from .return_path import LiveBalancers, ReturnPath, SendToCaller
@@ -202,7 +203,7 @@
         """Forget a flow that has ended, and record it."""
         if flow in self._connection_ids:
             self._forget(flow)
-            self._recorder.record(EventKind.FLOW_CLOSED, flow=flow.name)
+            record_ending(self._recorder, flow.name, flow.termination)
 
     def _forget(self, flow: Flow) -> None:
         """Drop all state of a flow."""
--- a/packages/pomelotrail-core/pomelotrail_core/timeline/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/timeline/messages.py
@@ -15,6 +15,7 @@
     CONFIGURATION_REFUSED = "configuration refused"
     FLOW_OPENED = "flow opened"
     FLOW_CLOSED = "flow closed"
+    FLOW_BROKEN = "flow broken"
     FLOW_PASSED_ON = "flow passed on"
     FLOW_REFUSED = "flow refused"
     PACKET_DROPPED = "packet dropped"
--- a/packages/pomelotrail-core/pomelotrail_core/timeline/recorder.py
+++ b/packages/pomelotrail-core/pomelotrail_core/timeline/recorder.py
@@ -1,7 +1,8 @@
 """The bounded rings of events of this process."""
 
 import heapq
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Mapping
 
 from pomelotrail_core.clock import Clock
 
@@ -41,6 +42,7 @@
         self._of_subjects: deque[Event] = deque(maxlen=size)
         self._of_state: deque[Event] = deque(maxlen=state_size)
         self._latest: dict[EventKind, str] = {}
+        self._counts: Counter[EventKind] = Counter()
         self._sequence = 0
 
     @property
@@ -69,6 +71,11 @@
         """Return how many events have given way."""
         return self._sequence - len(self._of_subjects) - len(self._of_state)
 
+    @property
+    def counts(self) -> Mapping[EventKind, int]:
+        """Return how many events of each kind were recorded since the start."""
+        return self._counts
+
     def latest(self, *kinds: EventKind) -> str:
         """Return the identifier of the latest event of these kinds, or empty."""
         found = [self._latest[kind] for kind in kinds if kind in self._latest]
@@ -102,6 +109,7 @@
         ring.append(event)
         identifier = event.identifier
         self._latest[kind] = identifier
+        self._counts[kind] += 1
         return identifier
 
 
--- a/packages/pomelotrail-core/pomelotrail_core/timeline/throttle.py
+++ b/packages/pomelotrail-core/pomelotrail_core/timeline/throttle.py
@@ -36,7 +36,13 @@
         self._clock = clock
         self._intervals: dict[EventKind, _Interval] = {}
 
-    def record(self, kind: EventKind, *, flow: str = "", detail: str = "") -> str:
+    def latest(self, *kinds: EventKind) -> str:
+        """Return the identifier of the latest event of these kinds, or empty."""
+        return self._recorder.latest(*kinds)
+
+    def record(
+        self, kind: EventKind, *, flow: str = "", cause: str = "", detail: str = ""
+    ) -> str:
         """Record an event and return its identifier; empty if left out."""
         interval, left_out = self._interval(kind)
         if interval.recorded >= EVENTS_PER_INTERVAL:
@@ -45,7 +51,7 @@
         interval.recorded += 1
         if left_out:
             detail = f"{detail} ({left_out} more left out before)"
-        return self._recorder.record(kind, flow=flow, detail=detail)
+        return self._recorder.record(kind, flow=flow, cause=cause, detail=detail)
 
     def _interval(self, kind: EventKind) -> tuple[_Interval, int]:
         """Return the interval under way and what the last one left out."""
