Balancers note orders about zones; the kept demo notices returning balancers

Cause: a balancer that drops the packets of a zone left no event, so a lost flow could not be traced to the order there. Each zone that goes out or comes back is one event now, with the version as its cause. In the kept demo the fabric sprays over whoever accepts connections, so a balancer that a reader restarts by hand is used again; the fleet's processes serve metrics.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -56,6 +56,7 @@
     backend_server: Endpoint
     packets: Endpoint
     control: Endpoint
+    metrics: Endpoint
 
 
 @attrs.define
@@ -66,6 +67,7 @@
     zone: str
     packets: Endpoint
     control: Endpoint
+    metrics: Endpoint
     listen: dict[str, Endpoint]
 
 
@@ -164,6 +166,7 @@
                 backend_server=self._ports.reserve(),
                 packets=self._ports.reserve(),
                 control=self._ports.reserve(),
+                metrics=self._ports.reserve(),
             )
             for service in self.specification.services
             for number in range(service.endpoints)
@@ -178,6 +181,7 @@
                 zone=zones[number % len(zones)],
                 packets=self._ports.reserve(),
                 control=self._ports.reserve(),
+                metrics=self._ports.reserve(),
                 listen={name: self._ports.reserve() for name in self.service_addresses},
             )
             for number in range(self.specification.balancers)
@@ -298,6 +302,7 @@
             "zone": place.zone,
             "packets": str(place.packets),
             "control": str(place.control),
+            "metrics": str(place.metrics),
             "configuration_service": f"http://{service}/v1/configuration",
             "fleet_key": self._fleet_key,
             "token_keys": [{"generation": 0, "key": self._token_key}],
--- a/harness/keep.py
+++ b/harness/keep.py
@@ -10,6 +10,7 @@
 from harness.fleet import Fleet
 from harness.process import ROOT
 from harness.specification import KESAR_TIDEWATER
+from pomelotrail_core.endpoint import Endpoint
 
 DIRECTORY: Final = ROOT / ".demo"
 DOCUMENT: Final = "document.yaml"
@@ -47,18 +48,31 @@
 
 
 async def _async_watch_balancers(fleet: Fleet) -> None:
-    """Let the fabric notice which balancers have died."""
+    """Let the fabric notice which balancers die and come back."""
     known = [place.name for place in fleet.balancers]
     while True:
         await asyncio.sleep(WATCH_SECONDS)
-        live = [name for name in known if fleet.processes[name].is_running]
+        live = [
+            place.name
+            for place in fleet.balancers
+            if await _async_is_listening(place.control)
+        ]
         if live != known:
-            gone = sorted(set(known) - set(live))
-            print(f"the fabric has noticed that {', '.join(gone)} is gone", flush=True)
+            print(f"the fabric sprays over {', '.join(live)} now", flush=True)
             await fleet.async_set_members(live)
             known = live
 
 
+async def _async_is_listening(endpoint: Endpoint) -> bool:
+    """Tell whether a process accepts connections at its control address."""
+    try:
+        _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 def _caller_settings(fleet: Fleet) -> dict[str, Any]:
     """Return callers that keep boards open and send a few requests."""
     ledger = str(fleet.service_addresses["stock-ledger"])
@@ -120,6 +134,7 @@
         f"  {program} timeline --document {document} --last 1min",
         f"  {program} zone in veraval {document} --output {document}",
         f"  script/call {DIRECTORY.name}/{BURST}.yaml      # a burst of callers",
+        "  curl http://METRICS/metrics",
         "  kill -9 PID                       # of a balancer",
         "  curl -X POST http://BACKEND-SERVER/admin/cold   # turns it cold",
         "Ctrl-C stops the fleet.",
@@ -129,7 +144,10 @@
 
 def _process_table(fleet: Fleet) -> str:
     """Return the processes with their addresses."""
-    lines = [f"{'PROCESS':<20}{'ZONE':<12}{'PID':<9}{'CONTROL':<18}BACKEND-SERVER"]
+    lines = [
+        f"{'PROCESS':<20}{'ZONE':<12}{'PID':<9}{'CONTROL':<18}{'METRICS':<18}"
+        "BACKEND-SERVER"
+    ]
     backend_servers = {
         place.name: str(place.backend_server) for place in fleet.companions
     }
@@ -138,6 +156,6 @@
         backend_server = backend_servers.get(place.name, "")
         lines.append(
             f"{place.name:<20}{place.zone:<12}{pid:<9}{place.control!s:<18}"
-            f"{backend_server}".rstrip()
+            f"{place.metrics!s:<18}{backend_server}".rstrip()
         )
     return "\n".join(lines)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -22,6 +22,7 @@
 from pomelotrail_core.timeline.service import TimelineService
 
 from .forwarding import Forwarder, PacketCounter, ServiceSocket
+from .orders import ZoneEvents
 from .returns import FleetSocket
 from .settings import BalancerSettings, ListenAddress
 
@@ -79,6 +80,7 @@
         self._recorder.record(EventKind.PROCESS_STARTED)
         self._coordinator.add_listener(self._roster.configure)
         self._coordinator.add_listener(self._forwarder.configure)
+        self._coordinator.add_listener(ZoneEvents(self._recorder).configure)
         await self._control.async_start()
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/sentences.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/sentences.py
@@ -29,7 +29,7 @@
     EventKind.BACKEND_SERVER_WARM: "found its backend server warm",
     EventKind.SUSPECTED: "suspected a process of being gone",
     EventKind.TRUSTED: "trusted a process again",
-    EventKind.ZONE_OUT: "left service with its availability zone",
+    EventKind.ZONE_OUT: "saw an availability zone go out of service",
     EventKind.ZONE_BACK: "took up service again",
     EventKind.DRAINING: "started to drain",
     EventKind.WOKE_LATE: "woke up late",
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/test_story.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/test_story.py
@@ -51,7 +51,7 @@
         )
         story = tell(timeline, _REQUEST)
         self.assertIn("refused request f1-0: leaving, not run.", story[1])
-        self.assertIn("left service with its availability zone", story[2])
+        self.assertIn("saw an availability zone go out of service", story[2])
         self.assertIn("put a configuration in force: version 9", story[3])
         self.assertEqual(story[-1], "End: request refused, leaving, not run")
 
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/orders/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of following operators' orders."""
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/orders/tests/test_zone_events.py
@@ -0,0 +1,24 @@
+"""Tests of recording orders about availability zones."""
+
+import unittest
+
+from harness.builders import configuration
+from harness.fake_clock import FakeClock
+from pomelotrail_balancer.orders import ZoneEvents
+from pomelotrail_core.timeline import EventKind, Recorder
+
+
+class ZoneEventsTest(unittest.TestCase):
+    """Each order stands once on the time line, with the version as its cause."""
+
+    def test_out_and_back(self) -> None:
+        """A zone goes out and comes back; unchanged versions add nothing."""
+        recorder = Recorder("balancer-1", "veraval", FakeClock())
+        events = ZoneEvents(recorder)
+        out = frozenset({"porbandar"})
+        version = recorder.record(EventKind.CONFIGURATION_IN_FORCE)
+        for zones_out in (frozenset(), out, out, frozenset()):
+            events.configure(configuration(zones_out=zones_out))
+        kinds = [event.kind for event in recorder.events[1:]]
+        self.assertEqual(kinds, [EventKind.ZONE_OUT, EventKind.ZONE_BACK])
+        self.assertEqual(recorder.events[1].cause, version)
