--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/selection.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/selection.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from pomelotrail_core.timeline import MergedEvent, Timeline
+from pomelotrail_core.timeline import EventKind, MergedEvent, Timeline
 
 
 @attrs.frozen
@@ -16,6 +16,7 @@
     flow: str = ""
     request: str = ""
     zone: str = ""
+    kind: EventKind | None = None
 
     def choose(self, timeline: Timeline) -> list[MergedEvent]:
         """Return the chosen entries in their order."""
@@ -26,6 +27,8 @@
         event = entry.event
         if self.zone and event.zone != self.zone:
             return False
+        if self.kind is not None and event.kind is not self.kind:
+            return False
         if self.flow and not event.flow.startswith(self.flow):
             return False
         return not self.request or event.request.startswith(self.request)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/test_commands.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/test_commands.py
@@ -160,6 +160,19 @@
         shown = [json.loads(line) for line in outcome.output.splitlines()]
         self.assertEqual([each["request"] for each in shown], ["f2-0"])
 
+    def test_timeline_of_one_kind(self) -> None:
+        """A kind chooses events; an unknown one is refused with the known ones."""
+        with answering_process("ledger-1") as process:
+            process.recorder.record(EventKind.REQUEST_STARTED, request="f1-0")
+            process.recorder.record(EventKind.REQUEST_REFUSED, request="f2-0")
+            address = str(process.endpoint)
+            chosen = run_command("timeline", address, "--kind", "request refused")
+            wrong = run_command("timeline", address, "--kind", "refused")
+        self.assertIn("f2-0", chosen.output)
+        self.assertNotIn("f1-0", chosen.output)
+        self.assertEqual(wrong.code, 2)
+        self.assertIn("request refused", wrong.errors)
+
     def test_old_events_are_left_out(self) -> None:
         """``--last`` asks only for late events."""
         with answering_process("ledger-1") as process:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/timeline.py
@@ -10,7 +10,7 @@
 from result import Err, Ok
 
 from pomelotrail_core.command_line import EXIT_FAILED, Command
-from pomelotrail_core.timeline import MergedEvent
+from pomelotrail_core.timeline import EventKind, MergedEvent
 
 from .const import FORMAT_HTML, FORMAT_JSON, FORMAT_TEXT
 from .gathering import Gathered, add_gathering_arguments, gather, print_error
@@ -38,6 +38,12 @@
         parser.add_argument("--flow", default="", help="only events of this flow")
         parser.add_argument("--request", default="", help="only events of this request")
         parser.add_argument("--zone", default="", help="only this availability zone")
+        parser.add_argument(
+            "--kind",
+            type=_kind,
+            metavar="EVENT",
+            help="only events of this kind, as 'request refused'",
+        )
         parser.add_argument(
             "--format",
             choices=[FORMAT_TEXT, FORMAT_JSON, FORMAT_HTML],
@@ -55,7 +61,9 @@
                 return EXIT_FAILED
             case Ok(gathered):
                 pass
-        selection = Selection(arguments.flow, arguments.request, arguments.zone)
+        selection = Selection(
+            arguments.flow, arguments.request, arguments.zone, arguments.kind
+        )
         entries = selection.choose(gathered.timeline)
         text = _render(arguments.format, gathered, entries)
         if not _write(text, arguments.output):
@@ -63,6 +71,17 @@
         return gathered.report()
 
 
+def _kind(text: str) -> EventKind:
+    """Read a kind of event given on the command line."""
+    try:
+        return EventKind(text)
+    except ValueError as error:
+        known = ", ".join(kind.value for kind in EventKind)
+        raise argparse.ArgumentTypeError(
+            f"{text!r} is no event; use one of: {known}"
+        ) from error
+
+
 def _render(form: str, gathered: Gathered, entries: Sequence[MergedEvent]) -> str:
     """Return the time line in the wanted form."""
     if form == FORMAT_HTML:
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -18,7 +18,7 @@
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
-from pomelotrail_core.metrics import Metrics
+from pomelotrail_core.metrics import Metric, Metrics, Reading, observe_gauge
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
@@ -65,6 +65,11 @@
         )
         self._roster = Roster()
         self._edge: QuicEdge | None = None
+        observe_gauge(
+            self._metrics.meter("edge"),
+            Metric("flows", "{flow}", "Open flows"),
+            lambda: [Reading(self._flow_count())],
+        )
         self._control = ControlServer(
             process.control,
             [
@@ -188,10 +193,13 @@
             self._edge.announce_leaving()
             self._edge.close_all()
 
+    def _flow_count(self) -> int:
+        """Return the number of open flows."""
+        return self._edge.flow_count if self._edge is not None else 0
+
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
-        flows = self._edge.flow_count if self._edge is not None else 0
-        return {"flows": float(flows), **self._accounting.figures}
+        return {"flows": float(self._flow_count()), **self._accounting.figures}
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
--- a/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
@@ -16,6 +16,21 @@
     arguments: Sequence[str] | None = None,
 ) -> int:
     """Parse the arguments, run their command and return its exit code."""
+    parsed = command_parser(program, description, commands).parse_args(arguments)
+    try:
+        code = parsed.run(parsed)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Whoever read the output, such as head, has seen enough.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_OK
+    return code
+
+
+def command_parser(
+    program: str, description: str, commands: Sequence[Command]
+) -> argparse.ArgumentParser:
+    """Return the parser of a program's command line."""
     parser = argparse.ArgumentParser(
         prog=program,
         description=description,
@@ -25,12 +40,4 @@
     chosen = parser.add_subparsers(required=True, metavar="COMMAND")
     for command in commands:
         command.register(chosen)
-    parsed = parser.parse_args(arguments)
-    try:
-        code = parsed.run(parsed)
-        sys.stdout.flush()
-    except BrokenPipeError:
-        # Whoever read the output, such as head, has seen enough.
-        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
-        return EXIT_OK
-    return code
+    return parser
