--- a/harness/tests/test_documentation.py
+++ b/harness/tests/test_documentation.py
@@ -16,6 +16,7 @@
 _PAGES = ROOT / "docs" / "operators"
 _PROGRAM = re.compile(r"^ +(?:\.venv/bin/)?pomelotrail (.+)$", re.MULTILINE)
 _LINK = re.compile(r"\]\((?!https?:)([^)#]+)\)")
+_TEST = re.compile(r"`(test_\w+)\.(\w+)\.(test_\w+)`")
 _STAND_FOR_ADDRESS = "192.0.2.7:7001"
 
 
@@ -67,3 +68,20 @@
                 self.assertTrue(
                     (page.parent / target).exists(), f"{page.name}: {target}"
                 )
+
+    def test_named_tests_exist(self) -> None:
+        """Each test that docs/INVARIANTS.md names is one that runs."""
+        sources = {
+            path: path.read_text()
+            for folder in ("packages", "harness", "stand_ins")
+            for path in (ROOT / folder).rglob("test_*.py")
+        }
+        named = _TEST.findall((ROOT / "docs" / "INVARIANTS.md").read_text())
+        self.assertGreater(len(named), 10)
+        for module, case, function in named:
+            found = any(
+                f"class {case}(" in text and f"def {function}(" in text
+                for path, text in sources.items()
+                if path.stem == module
+            )
+            self.assertTrue(found, f"{module}.{case}.{function}")
