--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/ending.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/ending.py
@@ -2,13 +2,16 @@
 
 from typing import Final
 
+from aioquic.h3.connection import ErrorCode
 from aioquic.quic.events import ConnectionTerminated
+from aioquic.quic.packet import QuicErrorCode
 
 from pomelotrail_core.timeline import EventKind, Recorder
 
 # The phrase by which aioquic tells an idle timeout from a close.
 IDLE_PHRASE: Final = "Idle timeout"
 
+_NO_ERROR: Final = (QuicErrorCode.NO_ERROR, ErrorCode.H3_NO_ERROR)
 _STATES: Final = (EventKind.ZONE_OUT, EventKind.ZONE_BACK, EventKind.DRAINING)
 
 
@@ -46,5 +49,7 @@
     """Return the error code and phrase of a close."""
     if termination is None:
         return ""
-    code = f"error code {termination.error_code:#x}"
-    return f"{code}, {termination.reason_phrase}".rstrip(", ")
+    phrase = termination.reason_phrase
+    if termination.error_code in _NO_ERROR and not phrase:
+        return "without an error"
+    return f"error code {termination.error_code:#x}, {phrase}".rstrip(", ")
