--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -18,9 +18,11 @@
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
 from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
 
 from .forwarding import Forwarder, PacketCounter, ServiceSocket
+from .orders import ZoneEvents
 from .returns import FleetSocket
 from .settings import BalancerSettings, ListenAddress
 
@@ -39,6 +41,11 @@
         self._coordinator = ConfigurationCoordinator(
             clock, self._recorder, random.Random()
         )
+        observe_process(
+            self._metrics.meter("process"),
+            self._recorder,
+            lambda: self._coordinator.version,
+        )
         self._roster = Roster()
         self._encapsulation = Encapsulation(process.fleet_key)
         self._forwarder = Forwarder(
@@ -73,6 +80,7 @@
         self._recorder.record(EventKind.PROCESS_STARTED)
         self._coordinator.add_listener(self._roster.configure)
         self._coordinator.add_listener(self._forwarder.configure)
+        self._coordinator.add_listener(ZoneEvents(self._recorder).configure)
         await self._control.async_start()
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -18,13 +18,14 @@
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
-from pomelotrail_core.metrics import Metrics
+from pomelotrail_core.metrics import Metric, Metrics, Reading, observe_gauge
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
@@ -33,6 +34,7 @@
 from .edge import ConnectionLimit, QuicEdge
 from .edge.assembly import EdgeContext, async_open_edge
 from .requests import Dispatcher, RequestHandler
+from .requests.accounting import RequestAccounting
 from .settings import CompanionSettings
 
 _LOGGER = get_logger("companion")
@@ -54,10 +56,21 @@
         self._coordinator = ConfigurationCoordinator(
             clock, self._recorder, random.Random()
         )
+        self._accounting = RequestAccounting(self._metrics.meter("requests"))
         self._draining = DrainingState(process.name, process.zone, self._recorder)
+        observe_process(
+            self._metrics.meter("process"),
+            self._recorder,
+            lambda: self._coordinator.version,
+        )
         self._roster = Roster()
         self._edge: QuicEdge | None = None
         self._scheduler: Scheduler | None = None
+        observe_gauge(
+            self._metrics.meter("edge"),
+            Metric("flows", "{flow}", "Open flows"),
+            lambda: [Reading(self._flow_count())],
+        )
         self._control = ControlServer(
             process.control,
             [
@@ -174,21 +187,29 @@
             self._clock,
             self._recorder,
             gate,
+            self._accounting,
         )
 
     async def _async_leave(self) -> None:
         """Take no more work and close the flows."""
-        self._draining.stop()
         self._recorder.record(EventKind.PROCESS_STOPPING)
+        self._draining.stop()
         if self._edge is not None:
             self._edge.announce_leaving()
             self._edge.close_all()
 
+    def _flow_count(self) -> int:
+        """Return the number of open flows."""
+        return self._edge.flow_count if self._edge is not None else 0
+
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
-        flows = self._edge.flow_count if self._edge is not None else 0
         admission = {} if self._scheduler is None else self._scheduler.figures()
-        return {"flows": float(flows), **admission}
+        return {
+            "flows": float(self._flow_count()),
+            **self._accounting.figures,
+            **admission,
+        }
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
