A ledger that lets only the named companion run a request, once

Cause: retries reach any companion, and two that each believe they may run a request double it. Now a ticket names its only executor, whose ledger holds running, done with the whole answer, fenced or delegated; other companions ask it over grpclib, and it answers, waits, or fences before it says not-run. A caller that goes away cancels nothing. A leaving companion records a delegation before it sends. Graceful shutdown waits for running requests.

--- a/packages/pomelotrail-companion/pomelotrail_companion/backend/client.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/backend/client.py
@@ -160,7 +160,7 @@
 
 def _refuse_shed(request: Request, reason: str) -> Answer:
     """Return the refusal for the documented shed answer of a backend server."""
-    request.contact.record_shed()
+    request.contact.record_not_run()
     answer = refuse(
         Refusal(
             RefusalKind.SHED,
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -22,14 +22,17 @@
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import Encapsulation, RoutingToken, TokenMint
+from pomelotrail_core.tickets import Executor, TicketMint, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
 from .admission import AdmissionGate
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.state import ServingState
 from .edge import PacketSocket, QuicEdge
 from .edge.quic_edge import quic_configuration
+from .ledger import GrpcPeers, Once, RelayService, ServicePeers
 from .requests import Dispatcher, RequestHandler
 from .settings import CompanionSettings
 
@@ -55,6 +58,10 @@
         self._draining = DrainingState(process.name, process.zone, self._recorder)
         self._roster = Roster()
         self._edge: QuicEdge | None = None
+        self._sealer = TicketSealer(process.token_keys)
+        self._relay = RelayService(settings.service, self._sealer, clock)
+        self._peers = GrpcPeers(settings.service, clock)
+        self._once: Once | None = None
         self._control = ControlServer(
             process.control,
             [
@@ -66,6 +73,7 @@
                     lambda: self._coordinator.version,
                     self._figures,
                 ),
+                self._relay,
             ],
         )
 
@@ -97,6 +105,7 @@
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
+        self._peers.close()
         await self._control.async_stop()
         await self._metrics.async_stop()
 
@@ -160,15 +169,31 @@
         """Return the steps that each request passes."""
         service = configuration.service(self._settings.service)
         server = _own_server(service, self._settings.process.name)
+        assert service is not None
         assert server is not None
         gate = AdmissionGate(server.slots, backend)
-        return Dispatcher(
-            self._settings.service,
+        control = self._settings.process.control
+        executor = Executor(control, self._incarnation, service.number)
+        mint = TicketMint(executor, self._sealer, self._clock)
+        self._once = Once.build(
+            mint,
+            self._sealer,
+            self._peers,
+            ServicePeers(service.name, control, self._coordinator, random.Random()),
+            lambda: self._draining.state is ServingState.LEAVING,
+            gate,
+            self._clock,
+            self._recorder,
+        )
+        dispatcher = Dispatcher(
+            service.name,
             self._coordinator,
             self._clock,
             self._recorder,
-            gate,
+            self._once.handler,
         )
+        self._relay.attach(dispatcher, self._once.resolver, mint)
+        return dispatcher
 
     async def _async_leave(self) -> None:
         """Take no more work and close the flows."""
@@ -176,6 +201,9 @@
         self._recorder.record(EventKind.PROCESS_STOPPING)
         if self._edge is not None:
             self._edge.announce_leaving()
+        if self._once is not None:
+            await self._once.executions.async_settle()
+        if self._edge is not None:
             self._edge.close_all()
 
     def _figures(self) -> dict[str, float]:
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
@@ -16,7 +16,13 @@
     StreamReset,
 )
 
-from pomelotrail_companion.requests import Answer, Header, Request, RequestHandler
+from pomelotrail_companion.requests import (
+    Answer,
+    Header,
+    Request,
+    RequestBroken,
+    RequestHandler,
+)
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.logs import get_logger
 
@@ -27,7 +33,7 @@
 FlowEnded = Callable[["Flow"], None]
 
 
-class CallerGone(Exception):
+class CallerGone(RequestBroken):
     """The caller ended the stream or the flow before the request was whole."""
 
 
@@ -146,9 +152,9 @@
         headers += [
             (header.name.encode(), header.value.encode()) for header in answer.headers
         ]
-        self._http.send_headers(stream_id, headers)
-        self.transmit()
         async with contextlib.aclosing(answer.body) as body:
+            self._http.send_headers(stream_id, headers)
+            self.transmit()
             async for piece in body:
                 await self._async_wait_writable(stream_id)
                 self._http.send_data(stream_id, piece, end_stream=False)
--- a/packages/pomelotrail-companion/pomelotrail_companion/ledger/relay_grpc.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/ledger/relay_grpc.py
@@ -18,6 +18,14 @@
     async def Run(self, stream: 'grpclib.server.Stream[pomelotrail_companion.ledger.relay_pb2.RelayPart, pomelotrail_companion.ledger.relay_pb2.RelayPart]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Resolve(self, stream: 'grpclib.server.Stream[pomelotrail_companion.ledger.relay_pb2.ResolveRequest, pomelotrail_companion.ledger.relay_pb2.RelayPart]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def IssueTicket(self, stream: 'grpclib.server.Stream[pomelotrail_companion.ledger.relay_pb2.IssueTicketRequest, pomelotrail_companion.ledger.relay_pb2.IssueTicketReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/pomelotrail.ledger.Relay/Run': grpclib.const.Handler(
@@ -26,6 +34,18 @@
                 pomelotrail_companion.ledger.relay_pb2.RelayPart,
                 pomelotrail_companion.ledger.relay_pb2.RelayPart,
             ),
+            '/pomelotrail.ledger.Relay/Resolve': grpclib.const.Handler(
+                self.Resolve,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                pomelotrail_companion.ledger.relay_pb2.ResolveRequest,
+                pomelotrail_companion.ledger.relay_pb2.RelayPart,
+            ),
+            '/pomelotrail.ledger.Relay/IssueTicket': grpclib.const.Handler(
+                self.IssueTicket,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                pomelotrail_companion.ledger.relay_pb2.IssueTicketRequest,
+                pomelotrail_companion.ledger.relay_pb2.IssueTicketReply,
+            ),
         }
 
 
@@ -38,3 +58,15 @@
             pomelotrail_companion.ledger.relay_pb2.RelayPart,
             pomelotrail_companion.ledger.relay_pb2.RelayPart,
         )
+        self.Resolve = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/pomelotrail.ledger.Relay/Resolve',
+            pomelotrail_companion.ledger.relay_pb2.ResolveRequest,
+            pomelotrail_companion.ledger.relay_pb2.RelayPart,
+        )
+        self.IssueTicket = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/pomelotrail.ledger.Relay/IssueTicket',
+            pomelotrail_companion.ledger.relay_pb2.IssueTicketRequest,
+            pomelotrail_companion.ledger.relay_pb2.IssueTicketReply,
+        )
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/__init__.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/__init__.py
@@ -1,7 +1,7 @@
 """Requests, answers and refusals, and who handles them."""
 
 from .dispatcher import Dispatcher
-from .errors import AnswerBroken, BodyTooLarge
+from .errors import AnswerBroken, BodyTooLarge, RequestBroken
 from .handler import RequestHandler
 from .messages import Answer, Header, Request
 from .refusals import Outcome, Refusal, refuse
@@ -17,6 +17,7 @@
     "Refusal",
     "Request",
     "RequestHandler",
+    "RequestBroken",
     "RequestRelay",
     "refuse",
 ]
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/errors.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/errors.py
@@ -7,3 +7,7 @@
 
 class BodyTooLarge(Exception):
     """A body that went over the limit of its class while it arrived."""
+
+
+class RequestBroken(Exception):
+    """A request whose body will not become whole, since its sender went away."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/proof.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/proof.py
@@ -15,7 +15,7 @@
     """Why a request can't have run."""
 
     NOT_SENT = "no byte went to a backend server"
-    SHED = "the backend server shed it, by its documented answer"
+    SHED = "every attempt was shed, by the documented answer"
     FENCED = "its ticket can never run"
     EXECUTOR = "the companion that alone may run it says so"
 
@@ -45,37 +45,37 @@
 
 
 class BackendContact:
-    """How far the attempts of one request have got at backend servers.
+    """How far the attempts to run one request have got.
 
-    It is shared by all copies of a request. The backend slice reports here
-    before the first byte, and when an attempt ended in the documented shed
-    answer.
+    It is shared by all copies of a request. Whoever sends the first byte of a
+    request to a backend server, or hands it to another companion, reports that
+    here beforehand, and afterwards whether that attempt provably did not run.
     """
 
     def __init__(self) -> None:
         """Start without an attempt."""
         self._attempts = 0
-        self._shed = 0
+        self._not_run = 0
 
     @property
     def has_begun(self) -> bool:
-        """Tell whether any byte may have gone to a backend server."""
+        """Tell whether any attempt has begun."""
         return self._attempts > 0
 
     def begin(self) -> None:
-        """Record that the next byte goes to a backend server."""
+        """Record that an attempt begins with the next byte sent."""
         self._attempts += 1
 
-    def record_shed(self) -> None:
-        """Record that the latest attempt was shed."""
-        self._shed += 1
+    def record_not_run(self) -> None:
+        """Record that the latest attempt was shed, or refused by its executor."""
+        self._not_run += 1
 
 
 def prove_by_contact(contact: BackendContact) -> NotRunProof | None:
-    """Return a proof if every attempt was shed or none has begun, else None."""
+    """Return a proof if no attempt has begun or none has run, else None."""
     if not contact.has_begun:
         return NotRunProof(ProofGrounds.NOT_SENT, _MAKER)
-    if contact._attempts == contact._shed:
+    if contact._attempts == contact._not_run:
         return NotRunProof(ProofGrounds.SHED, _MAKER)
     return None
 
@@ -90,8 +90,7 @@
 def prove_by_executor(says_not_run: bool) -> NotRunProof | None:
     """Return a proof if the executor itself said that the request has not run.
 
-    Call it only with the answer of the companion that a ticket names, or of
-    the only companion that a request was handed to.
+    Call it only with the answer of the companion that a ticket names.
     """
     if not says_not_run:
         return None
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/refusals.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/refusals.py
@@ -14,12 +14,13 @@
 from pomelotrail_core.logs import get_logger
 
 from .messages import Answer, Header, async_pieces
-from .proof import BackendContact, NotRunProof, prove_by_contact
+from .proof import BackendContact, NotRunProof, ProofGrounds, prove_by_contact
 
 _LOGGER = get_logger("requests")
 
 OUTCOME_HEADER: Final = "request-outcome"
 RETRY_AFTER_HEADER: Final = "retry-after"
+_TICKET_GROUNDS: Final = frozenset({ProofGrounds.FENCED, ProofGrounds.EXECUTOR})
 
 
 class Outcome(enum.Enum):
@@ -129,7 +130,9 @@
     refusal = answer.refusal
     if refusal is None or refusal.outcome is not Outcome.NOT_RUN:
         return answer
-    if refusal.proof is not None or prove_by_contact(contact) is not None:
+    if refusal.proof is not None and refusal.proof.grounds in _TICKET_GROUNDS:
+        return answer
+    if prove_by_contact(contact) is not None:
         return answer
     _LOGGER.error("Refusal %s said not-run without a proof", refusal.kind.slug)
     return refuse(attrs.evolve(refusal, outcome=Outcome.UNKNOWN))
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/tests/test_refusals.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/tests/test_refusals.py
@@ -50,7 +50,7 @@
         """The proof holds only while every attempt was shed."""
         contact = BackendContact()
         contact.begin()
-        contact.record_shed()
+        contact.record_not_run()
         proof = prove_by_contact(contact)
         assert proof is not None
         self.assertIs(proof.grounds, ProofGrounds.SHED)
