--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -24,6 +24,7 @@
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
+from pomelotrail_core.tickets import Executor, TicketMint, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
@@ -31,8 +32,10 @@
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.state import ServingState
 from .edge import ConnectionLimit, QuicEdge
 from .edge.assembly import EdgeContext, async_open_edge
+from .ledger import GrpcPeers, Once, RelayService, ServicePeers
 from .requests import Dispatcher, RequestHandler
 from .requests.accounting import RequestAccounting
 from .settings import CompanionSettings
@@ -71,6 +74,10 @@
             Metric("flows", "{flow}", "Open flows"),
             lambda: [Reading(self._flow_count())],
         )
+        self._sealer = TicketSealer(process.token_keys)
+        self._relay = RelayService(settings.service, self._sealer, clock)
+        self._peers = GrpcPeers(settings.service, clock)
+        self._once: Once | None = None
         self._control = ControlServer(
             process.control,
             [
@@ -82,6 +89,7 @@
                     lambda: self._coordinator.version,
                     self._figures,
                 ),
+                self._relay,
             ],
         )
 
@@ -113,6 +121,7 @@
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
+        self._peers.close()
         await self._control.async_stop()
         await self._metrics.async_stop()
 
@@ -175,20 +184,36 @@
         """Return the steps that each request passes."""
         service = configuration.service(self._settings.service)
         server = _own_server(service, self._settings.process.name)
+        assert service is not None
         assert server is not None
         limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
         self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
         gate = AdmissionGate(
             self._scheduler, backend, self._clock, self._recorder, random.Random()
         )
-        return Dispatcher(
-            self._settings.service,
+        control = self._settings.process.control
+        executor = Executor(control, self._incarnation, service.number)
+        mint = TicketMint(executor, self._sealer, self._clock)
+        self._once = Once.build(
+            mint,
+            self._sealer,
+            self._peers,
+            ServicePeers(service.name, control, self._coordinator, random.Random()),
+            lambda: self._draining.state is ServingState.LEAVING,
+            gate,
+            self._clock,
+            self._recorder,
+        )
+        dispatcher = Dispatcher(
+            service.name,
             self._coordinator,
             self._clock,
             self._recorder,
-            gate,
+            self._once.handler,
             self._accounting,
         )
+        self._relay.attach(dispatcher, self._once.resolver, mint)
+        return dispatcher
 
     async def _async_leave(self) -> None:
         """Take no more work and close the flows."""
@@ -196,6 +221,9 @@
         self._draining.stop()
         if self._edge is not None:
             self._edge.announce_leaving()
+        if self._once is not None:
+            await self._once.executions.async_settle()
+        if self._edge is not None:
             self._edge.close_all()
 
     def _flow_count(self) -> int:
