--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -28,7 +28,7 @@
 from pomelotrail_core.timeline.service import TimelineService
 
 from .admission import AdmissionGate
-from .backend import BackendClient
+from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
 from .edge import ConnectionLimit, QuicEdge
 from .edge.assembly import EdgeContext, open_edge
@@ -80,11 +80,19 @@
         await self._control.async_start()
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
-        async with aiohttp.ClientSession(auto_decompress=False) as session:
+        async with (
+            aiohttp.ClientSession() as session,
+            open_backend_session(is_reusing_connections=True) as kept,
+            open_backend_session(is_reusing_connections=False) as fresh,
+        ):
             source = ServiceSource(process.configuration_service, session)
             following = asyncio.create_task(self._coordinator.async_follow(source))
             configuration = await self._async_wait_listed()
-            self._open_edge(configuration, session)
+            backend = BackendClient(
+                self._settings.backend_server, kept, self._clock, fresh
+            )
+            handler = self._handler(configuration, backend)
+            self._open_edge(configuration, handler)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
@@ -109,9 +117,7 @@
             lambda current: _is_listed(current, service, name)
         )
 
-    def _open_edge(
-        self, configuration: Configuration, session: aiohttp.ClientSession
-    ) -> None:
+    def _open_edge(self, configuration: Configuration, handler: RequestHandler) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
         service = configuration.service(self._settings.service)
@@ -129,7 +135,7 @@
                 token=token,
                 certificate=str(self._settings.certificate),
                 private_key=str(self._settings.private_key),
-                handler=self._handler(server, session),
+                handler=handler,
                 admission=ConnectionLimit(server.connections),
                 draining=self._draining,
                 roster=self._roster,
@@ -148,10 +154,12 @@
         _LOGGER.info("Version %d is in force at %s", version, sender)
 
     def _handler(
-        self, server: BackendServer, session: aiohttp.ClientSession
+        self, configuration: Configuration, backend: BackendClient
     ) -> RequestHandler:
         """Return the steps that each request passes."""
-        backend = BackendClient(self._settings.backend_server, session, self._clock)
+        service = configuration.service(self._settings.service)
+        server = _own_server(service, self._settings.process.name)
+        assert server is not None
         gate = AdmissionGate(server.slots, backend)
         return Dispatcher(
             self._settings.service,
--- a/packages/pomelotrail-core/pomelotrail_core/membership/roster.py
+++ b/packages/pomelotrail-core/pomelotrail_core/membership/roster.py
@@ -1,9 +1,26 @@
 """The companions and balancers that the configuration in force names."""
 
-from pomelotrail_core.configuration import BackendServer, Balancer, Configuration
+import attrs
+
+from pomelotrail_core.configuration import (
+    BackendServer,
+    Balancer,
+    Configuration,
+    Service,
+)
 from pomelotrail_core.routing import Candidate
 
 
+@attrs.frozen(eq=False)
+class _ServiceView:
+    """What the roster has worked out for one service."""
+
+    service: Service
+    candidates: tuple[Candidate, ...]
+    holders: tuple[Candidate, ...]
+    packed_out: frozenset[bytes]
+
+
 class Roster:
     """Answers who may take new flows, from configuration and suspicion.
 
@@ -15,9 +32,10 @@
         """Start empty."""
         self._configuration: Configuration | None = None
         self._suspected: frozenset[str] = frozenset()
-        self._candidates: dict[int, tuple[Candidate, ...]] = {}
-        self._holders: dict[int, tuple[Candidate, ...]] = {}
+        self._views: dict[int, _ServiceView] = {}
         self._packed_out: frozenset[bytes] = frozenset()
+        self._decided_by: tuple[frozenset[str], frozenset[str]] | None = None
+        self._packed_from: tuple[Balancer, ...] = ()
         self._packed_balancers: tuple[bytes, ...] = ()
 
     @property
@@ -40,7 +58,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Take over a new version."""
         self._configuration = configuration
-        self._packed_balancers = tuple(each.packets.pack() for each in self.balancers)
+        self._pack_balancers()
         self._rebuild()
 
     def suspect(self, names: frozenset[str]) -> None:
@@ -50,50 +68,67 @@
 
     def candidates(self, service_number: int) -> tuple[Candidate, ...]:
         """Return the companions that may take new flows of a service."""
-        return self._candidates.get(service_number, ())
+        view = self._views.get(service_number)
+        return view.candidates if view is not None else ()
 
     def holders(self, service_number: int) -> tuple[Candidate, ...]:
         """Return the companions that may hold flows, the leaving ones included."""
-        return self._holders.get(service_number, ())
+        view = self._views.get(service_number)
+        return view.holders if view is not None else ()
 
     def is_out(self, packed_companion: bytes) -> bool:
         """Tell whether a companion is in an availability zone that is out."""
         return packed_companion in self._packed_out
 
+    def _pack_balancers(self) -> None:
+        """Pack the addresses of the balancers, unless they are the same."""
+        balancers = self.balancers
+        if balancers != self._packed_from:
+            self._packed_from = balancers
+            self._packed_balancers = tuple(each.packets.pack() for each in balancers)
+
     def _rebuild(self) -> None:
-        """Work out the candidates of every service."""
+        """Work out every service anew that has changed."""
         if self._configuration is None:
             return
-        zones_out = self._configuration.zones_out
-        servers = [
-            server
-            for service in self._configuration.services
-            for server in service.backend_servers
-        ]
-        self._packed_out = frozenset(
-            server.packets.pack() for server in servers if server.zone in zones_out
-        )
-        self._holders = {
-            service.number: tuple(
-                Candidate(server.packets)
-                for server in service.backend_servers
-                if server.zone not in zones_out
-            )
-            for service in self._configuration.services
-        }
-        self._candidates = {
-            service.number: self._eligible(service.backend_servers)
+        known = self._reusable_views()
+        self._views = {
+            service.number: known.get(id(service)) or self._view(service)
             for service in self._configuration.services
         }
+        self._packed_out = frozenset().union(
+            *(view.packed_out for view in self._views.values())
+        )
 
-    def _eligible(self, servers: tuple[BackendServer, ...]) -> tuple[Candidate, ...]:
-        """Return the candidates; all suspected ones only if no other is left."""
+    def _reusable_views(self) -> dict[int, _ServiceView]:
+        """Return the views that still hold, by the identity of their service.
+
+        An unchanged service is the same object in the next version.
+        """
+        assert self._configuration is not None
+        decided_by = (self._configuration.zones_out, self._suspected)
+        if decided_by != self._decided_by:
+            self._decided_by = decided_by
+            return {}
+        return {id(view.service): view for view in self._views.values()}
+
+    def _view(self, service: Service) -> _ServiceView:
+        """Work out one service."""
         assert self._configuration is not None
         zones_out = self._configuration.zones_out
-        allowed = [
-            server
-            for server in servers
-            if not server.is_out and server.zone not in zones_out
+        staying = [
+            each for each in service.backend_servers if each.zone not in zones_out
         ]
+        out = [each for each in service.backend_servers if each.zone in zones_out]
+        return _ServiceView(
+            service=service,
+            candidates=self._eligible(staying),
+            holders=tuple(Candidate(each.packets) for each in staying),
+            packed_out=frozenset(each.packets.pack() for each in out),
+        )
+
+    def _eligible(self, staying: list[BackendServer]) -> tuple[Candidate, ...]:
+        """Return the candidates; all suspected ones only if no other is left."""
+        allowed = [server for server in staying if not server.is_out]
         trusted = [each for each in allowed if each.name not in self._suspected]
         return tuple(Candidate(each.packets) for each in trusted or allowed)
--- a/packages/pomelotrail-core/pomelotrail_core/routing/authenticator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/authenticator.py
@@ -38,7 +38,7 @@
         nonce = datagram[-TRAILER_BYTES:-TAG_BYTES]
         tag = datagram[-TAG_BYTES:]
         try:
-            self._decrypt(nonce, tag, memoryview(datagram)[:-TRAILER_BYTES])
+            self._decrypt(nonce, tag, datagram[:-TRAILER_BYTES])
         except InvalidTag:
             return False
         return True
--- a/packages/pomelotrail-core/pomelotrail_core/tests/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of what every slice uses."""
+"""Tests of the modules that every slice uses."""
