Reserve ports that no other socket is given by chance

Ports now come from below that range and are checked. Ruled out: SO_REUSEADDR, which would let two processes share the packets.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -1,6 +1,7 @@
 """Starts a whole fleet on loopback: stand-ins, balancers and companions."""
 
 import asyncio
+import random
 import secrets
 import socket
 import sys
@@ -19,6 +20,8 @@
 from pomelotrail_core.endpoint import Endpoint
 
 _LOOPBACK = "127.0.0.1"
+# Below the ports that the kernel gives to sockets which ask for any.
+_RESERVED_PORTS = range(15_000, 32_000)
 
 
 class PortReserver:
@@ -31,21 +34,26 @@
     def reserve(self) -> Endpoint:
         """Return an address that is free for TCP and UDP."""
         while True:
-            with (
-                socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
-            ):
-                stream.bind((_LOOPBACK, 0))
-                port = stream.getsockname()[1]
-                try:
-                    datagram.bind((_LOOPBACK, port))
-                except OSError:
-                    continue
-            if port not in self._taken:
+            port = random.SystemRandom().choice(_RESERVED_PORTS)
+            if port not in self._taken and _is_free(port):
                 self._taken.add(port)
                 return Endpoint(_LOOPBACK, port)
 
 
+def _is_free(port: int) -> bool:
+    """Tell whether nobody uses a port of loopback for TCP or UDP."""
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
+    ):
+        try:
+            stream.bind((_LOOPBACK, port))
+            datagram.bind((_LOOPBACK, port))
+        except OSError:
+            return False
+    return True
+
+
 @attrs.define
 class CompanionPlace:
     """Where one backend server and its companion live."""
