Leave without cutting a request

Cause: SIGTERM closed every flow at once, answers under way included; a leaving backend server still got the requests of its old flows; callers were never told to move. An optional drain_limit in the settings bounds the wait; without it an open board is waited for. Flows that callers close after GOAWAY count as moved. Ruled out: closing when the answer has been handed to QUIC, since a close drops what is not acknowledged; running the requests of a leaving server here when nobody can be reached, which would be new work for it.

--- /dev/null
+++ b/harness/tests/test_leaving.py
@@ -0,0 +1,59 @@
+"""Leaving, with real processes on loopback."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+import attrs
+
+from harness.fleet import Fleet
+from harness.specification import KESAR_TIDEWATER
+from stand_ins.caller import async_connect
+
+_ONE_ZONE = attrs.evolve(
+    KESAR_TIDEWATER,
+    balancers=2,
+    services=(attrs.evolve(KESAR_TIDEWATER.services[0], endpoints=1),),
+)
+_STALL_SECONDS = 3.0
+
+
+class LeavingTest(unittest.IsolatedAsyncioTestCase):
+    """A companion that is told to stop cuts nothing."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a fleet with one backend server that is slow."""
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.fleet = Fleet(_ONE_ZONE, Path(directory.name))
+        self.addAsyncCleanup(self.fleet.async_stop)
+        await self.fleet.async_start()
+        self.place = self.fleet.companions[0]
+        url = f"http://{self.place.backend_server}/admin/behaviour"
+        async with aiohttp.ClientSession() as session:
+            await session.post(url, json={"stall_seconds": _STALL_SECONDS})
+
+    async def test_running_request_is_answered_whole(self) -> None:
+        """SIGTERM waits for the answer, tells the caller to move, and exits 0."""
+        address = self.fleet.service_addresses["stock-ledger"]
+        async with async_connect(address.host, address.port) as caller:
+            answer = caller.open("POST", "/uploads", b"x" * 50_000)
+            await self._async_wait_running()
+            process = self.fleet.processes[self.place.name]
+            stopping = asyncio.create_task(process.async_stop(60))
+            await answer.async_whole()
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(caller.asked_to_go.is_set())
+            self.assertEqual(await stopping, 0)
+
+    async def _async_wait_running(self) -> None:
+        """Wait until the backend server works on the request."""
+        url = f"http://{self.place.backend_server}/admin/state"
+        async with aiohttp.ClientSession() as session:
+            while True:
+                async with session.get(url) as response:
+                    if (await response.json())["running"]:
+                        return
+                await asyncio.sleep(0.05)
--- a/measurements/datapath/connections.py
+++ b/measurements/datapath/connections.py
@@ -67,7 +67,7 @@
         _open_flow(bench)
     both = time.thread_time() - began
     opened = _resident_bytes()
-    bench.edge.close_all()
+    bench.edge.close_all("measured")
     await asyncio.sleep(CLOSING)
     closed = _resident_bytes()
     return {
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -30,6 +30,8 @@
 from .admission import AdmissionGate
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.leaving import LeavingStep, NoRelay
+from .draining.shutdown import GracefulShutdown
 from .edge import ConnectionLimit, QuicEdge
 from .edge.assembly import EdgeContext, open_edge
 from .requests import Dispatcher, RequestHandler
@@ -161,26 +163,36 @@
         server = _own_server(service, self._settings.process.name)
         assert server is not None
         gate = AdmissionGate(server.slots, backend)
+        leaving = LeavingStep(self._draining, NoRelay(), self._recorder, gate)
         return Dispatcher(
             self._settings.service,
             self._coordinator,
             self._clock,
             self._recorder,
-            gate,
+            leaving,
         )
 
     async def _async_leave(self) -> None:
-        """Take no more work and close the flows."""
-        self._draining.stop()
-        self._recorder.record(EventKind.PROCESS_STOPPING)
-        if self._edge is not None:
-            self._edge.announce_leaving()
-            self._edge.close_all()
+        """Take no more work, and end when the running requests have."""
+        if self._edge is None:
+            return
+        shutdown = GracefulShutdown(
+            self._edge,
+            self._draining,
+            self._clock,
+            self._recorder,
+            self._settings.drain_limit,
+        )
+        await shutdown.async_run()
 
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
-        flows = self._edge.flow_count if self._edge is not None else 0
-        return {"flows": float(flows)}
+        if self._edge is None:
+            return {"flows": 0.0}
+        return {
+            "flows": float(self._edge.flow_count),
+            "flows_moved": float(self._edge.moved_flow_count),
+        }
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
--- a/packages/pomelotrail-companion/pomelotrail_companion/draining/__init__.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/__init__.py
@@ -1,5 +1,5 @@
-"""Whether the companion takes new flows and new requests."""
+"""Whether the companion takes new flows and new requests, and how it ends."""
 
-from .state import DrainingState
+from .state import DrainingState, ServingState
 
-__all__ = ["DrainingState"]
+__all__ = ["DrainingState", "ServingState"]
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/leaving.py
@@ -0,0 +1,55 @@
+"""Sends the new requests of a leaving backend server to another companion."""
+
+from pomelotrail_companion.requests import (
+    Answer,
+    Outcome,
+    Refusal,
+    Request,
+    RequestHandler,
+    RequestRelay,
+    refuse,
+)
+from pomelotrail_companion.requests.refusals import RefusalKind
+from pomelotrail_core.timeline import EventKind, Recorder
+
+from .const import RETRY_AFTER
+from .state import DrainingState
+
+
+class LeavingStep(RequestHandler):
+    """Gives the backend server no new work once it leaves.
+
+    Old flows stay open: their new requests are run by another companion and
+    answered here. Requests that must not run twice have a named executor, so
+    they are handed on by the step that owns their tickets, and pass this one.
+    """
+
+    def __init__(
+        self,
+        state: DrainingState,
+        relay: RequestRelay,
+        recorder: Recorder,
+        next_handler: RequestHandler,
+    ) -> None:
+        """Relay with ``relay`` while ``state`` takes nothing new."""
+        self._state = state
+        self._relay = relay
+        self._recorder = recorder
+        self._next = next_handler
+
+    async def async_handle(self, request: Request) -> Answer:
+        """Hand a request to the next step or to another companion."""
+        if self._state.takes_new_flows:
+            return await self._next.async_handle(request)
+        self._recorder.record(
+            EventKind.REQUEST_RELAYED, flow=request.flow, request=request.identifier
+        )
+        return await self._relay.async_relay(request)
+
+
+class NoRelay(RequestRelay):
+    """Refuses, where there is no other companion to ask."""
+
+    async def async_relay(self, request: Request) -> Answer:
+        """Say that the request has not been run."""
+        return refuse(Refusal(RefusalKind.LEAVING, Outcome.NOT_RUN, RETRY_AFTER))
--- a/packages/pomelotrail-companion/pomelotrail_companion/draining/state.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/state.py
@@ -1,6 +1,7 @@
 """Whether this companion is serving, leaving or out."""
 
 import enum
+from collections.abc import Callable
 
 from pomelotrail_core.configuration import Configuration
 from pomelotrail_core.timeline import EventKind, Recorder
@@ -14,6 +15,9 @@
     ZONE_OUT = "zone out"
 
 
+StateListener = Callable[[ServingState], None]
+
+
 class DrainingState:
     """Follows the published orders for one backend server."""
 
@@ -24,6 +28,7 @@
         self._recorder = recorder
         self._state = ServingState.SERVING
         self._is_stopping = False
+        self._listeners: list[StateListener] = []
 
     @property
     def state(self) -> ServingState:
@@ -35,10 +40,16 @@
         """Tell whether new flows are welcome."""
         return self._state is ServingState.SERVING
 
+    def add_listener(self, listener: StateListener) -> None:
+        """Call ``listener`` with the state now and with each later one."""
+        self._listeners.append(listener)
+        listener(self._state)
+
     def stop(self) -> None:
         """Leave because the process was told to stop."""
         self._is_stopping = True
-        self._change(ServingState.LEAVING)
+        if self._state is not ServingState.ZONE_OUT:
+            self._change(ServingState.LEAVING)
 
     def configure(self, configuration: Configuration) -> None:
         """Take over the orders of a new version."""
@@ -68,3 +79,5 @@
             ServingState.ZONE_OUT: EventKind.ZONE_OUT,
         }
         self._recorder.record(kinds[state], detail=state.value)
+        for listener in self._listeners:
+            listener(state)
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/tests/test_leaving.py
@@ -0,0 +1,89 @@
+"""Tests of new requests at a leaving companion."""
+
+import unittest
+
+from harness.builders import backend_server, configuration
+from harness.fake_clock import FakeClock
+from pomelotrail_companion.draining import DrainingState
+from pomelotrail_companion.draining.leaving import LeavingStep, NoRelay
+from pomelotrail_companion.requests import (
+    Answer,
+    Outcome,
+    Request,
+    RequestHandler,
+    RequestRelay,
+)
+from pomelotrail_companion.requests.messages import async_pieces
+from pomelotrail_core.timeline import Recorder
+
+
+class _Local(RequestHandler):
+    """Counts the requests that the own backend server gets."""
+
+    count = 0
+
+    async def async_handle(self, request: Request) -> Answer:
+        """Answer one request."""
+        self.count += 1
+        return Answer(200, (), async_pieces(b"here"))
+
+
+class _FakeRelay(RequestRelay):
+    """Counts the requests that another companion gets."""
+
+    count = 0
+
+    async def async_relay(self, request: Request) -> Answer:
+        """Answer one request."""
+        self.count += 1
+        return Answer(200, (), async_pieces(b"there"))
+
+
+def _request() -> Request:
+    """Return a request of an old flow."""
+    return Request("r-1", "flow", "GET", "/board", (), async_pieces())
+
+
+class LeavingStepTest(unittest.IsolatedAsyncioTestCase):
+    """A leaving backend server gets no new work."""
+
+    def setUp(self) -> None:
+        """Make a companion that serves."""
+        recorder = Recorder("ledger-1", "porbandar", FakeClock())
+        self.state = DrainingState("ledger-1", "veraval", recorder)
+        self.state.configure(configuration(servers=(backend_server(1),)))
+        self.local, self.relay = _Local(), _FakeRelay()
+        self.step = LeavingStep(self.state, self.relay, recorder, self.local)
+        self.refusing = LeavingStep(self.state, NoRelay(), recorder, self.local)
+
+    def order_out(self) -> None:
+        """Publish that the backend server leaves."""
+        servers = (backend_server(1, is_out=True),)
+        self.state.configure(configuration(2, servers=servers))
+
+    async def test_serving_runs_here(self) -> None:
+        """Nothing is relayed before the order."""
+        await self.step.async_handle(_request())
+        self.assertEqual((self.local.count, self.relay.count), (1, 0))
+
+    async def test_leaving_relays(self) -> None:
+        """After the order the caller is answered by another companion."""
+        self.order_out()
+        answer = await self.step.async_handle(_request())
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((self.local.count, self.relay.count), (0, 1))
+
+    async def test_without_a_relay_the_refusal_says_not_run(self) -> None:
+        """The backend server still gets nothing."""
+        self.order_out()
+        answer = await self.refusing.async_handle(_request())
+        self.assertEqual(self.local.count, 0)
+        assert answer.refusal is not None
+        self.assertIs(answer.refusal.outcome, Outcome.NOT_RUN)
+
+    async def test_back_in_service(self) -> None:
+        """The order can be taken back."""
+        self.order_out()
+        self.state.configure(configuration(3, servers=(backend_server(1),)))
+        await self.step.async_handle(_request())
+        self.assertEqual(self.local.count, 1)
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
@@ -4,6 +4,7 @@
 from opentelemetry.metrics import Meter
 
 from pomelotrail_companion.draining import DrainingState
+from pomelotrail_companion.draining.orders import follow_orders
 from pomelotrail_companion.requests import RequestHandler
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.datagrams import DatagramSocket
@@ -78,5 +79,6 @@
         events,
     )
     packet_socket.attach(router)
+    follow_orders(context.draining, edge)
     DatagramSocket(packet_socket, process.packets.socket_address)
     return edge
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/caller_edge.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/caller_edge.py
@@ -39,10 +39,27 @@
     def refuse(self, packet: ForwardedPacket) -> None:
         """Tell the sender of an opening packet that its flow is refused."""
 
+    @property
+    @abc.abstractmethod
+    def busy_flow_count(self) -> int:
+        """Return the number of flows with an answer that is not whole yet."""
+
     @abc.abstractmethod
     def announce_leaving(self) -> None:
-        """Tell callers to open their next flow elsewhere."""
+        """Ask callers to open their next flow elsewhere."""
+
+    @abc.abstractmethod
+    def resume(self) -> None:
+        """Keep the flows that open from now on."""
+
+    @abc.abstractmethod
+    def refuse_requests(self) -> None:
+        """Process no further requests; the running ones are answered."""
+
+    @abc.abstractmethod
+    def close_idle(self) -> None:
+        """Close the flows whose answers are whole."""
 
     @abc.abstractmethod
-    def close_all(self) -> None:
-        """Close every flow."""
+    def close_all(self, reason: str) -> None:
+        """Close every flow, telling callers the reason."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
@@ -8,7 +8,11 @@
 from aioquic.asyncio.protocol import QuicConnectionProtocol
 from aioquic.h3.connection import ErrorCode, H3Connection
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
-from aioquic.quic.connection import QuicConnection
+from aioquic.quic.connection import (
+    QuicConnection,
+    stream_is_client_initiated,
+    stream_is_unidirectional,
+)
 from aioquic.quic.events import (
     ConnectionTerminated,
     HandshakeCompleted,
@@ -22,6 +26,7 @@
 from pomelotrail_core.logs import get_logger
 
 from .const import SEND_HIGH_WATER_BYTES, SEND_POLL
+from .goaway import EVERY_REQUEST, next_request_stream, send_goaway
 
 _LOGGER = get_logger("edge")
 
@@ -84,6 +89,9 @@
         self._http = H3Connection(quic)
         self._bodies: dict[int, _Body] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._latest_stream_id: int | None = None
+        self._is_announced = False
+        self._first_refused = EVERY_REQUEST
 
     @property
     def name(self) -> str:
@@ -95,6 +103,39 @@
         """Return the number of requests without a whole answer."""
         return len(self._tasks)
 
+    @property
+    def is_announced(self) -> bool:
+        """Tell whether the caller was asked to open its next flow elsewhere."""
+        return self._is_announced
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether every answer has been sent and acknowledged whole."""
+        if self._tasks:
+            return False
+        return all(
+            stream.sender.is_finished
+            for stream_id, stream in self._quic._streams.items()
+            if stream_is_client_initiated(stream_id)
+            and not stream_is_unidirectional(stream_id)
+        )
+
+    def announce_leaving(self) -> None:
+        """Ask the caller to open its next flow elsewhere; requests still run."""
+        if not self._is_announced:
+            self._is_announced = True
+            self._send_goaway(EVERY_REQUEST)
+
+    def refuse_requests(self) -> None:
+        """Tell the caller that no further request will be processed."""
+        if self._first_refused == EVERY_REQUEST:
+            self._first_refused = next_request_stream(self._latest_stream_id)
+            self._send_goaway(self._first_refused)
+
+    def close_politely(self, reason: str) -> None:
+        """Close the flow without an error."""
+        self.close(ErrorCode.H3_NO_ERROR, reason)
+
     def abandon(self) -> None:
         """Forget a flow whose caller has gone, without a packet to it."""
         if self._timer is not None:
@@ -130,6 +171,10 @@
         """Start the task of a request; trailers are passed over."""
         if event.stream_id in self._bodies:
             return
+        if event.stream_id >= self._first_refused:
+            self._reset(event.stream_id, ErrorCode.H3_REQUEST_REJECTED)
+            return
+        self._latest_stream_id = max(event.stream_id, self._latest_stream_id or 0)
         body = _Body()
         request = _request(event, body, self._name)
         self._bodies[event.stream_id] = body
@@ -147,7 +192,7 @@
             raise
         except Exception:
             _LOGGER.exception("Request %s failed", request.identifier)
-            self._reset(stream_id)
+            self._reset(stream_id, ErrorCode.H3_INTERNAL_ERROR)
         finally:
             self._bodies.pop(stream_id, None)
             self._tasks.pop(stream_id, None)
@@ -178,10 +223,15 @@
         stream = self._quic._streams.get(stream_id)
         return len(stream.sender._buffer) if stream is not None else 0
 
-    def _reset(self, stream_id: int) -> None:
+    def _send_goaway(self, first_refused: int) -> None:
+        """Send one GOAWAY frame."""
+        send_goaway(self._quic, self._http, first_refused)
+        self.transmit()
+
+    def _reset(self, stream_id: int, error_code: ErrorCode) -> None:
         """Tell the caller that the answer will not become whole."""
         with contextlib.suppress(Exception):
-            self._quic.reset_stream(stream_id, ErrorCode.H3_INTERNAL_ERROR)
+            self._quic.reset_stream(stream_id, error_code)
             self.transmit()
 
     def _cancel(self, stream_id: int) -> None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
@@ -66,6 +66,9 @@
         self._connection_ids: dict[Flow, set[bytes]] = {}
         self._paths: dict[Flow, ReturnPath] = {}
         self._half_open: dict[Flow, timedelta] = {}
+        self._closing: set[Flow] = set()
+        self._is_leaving = False
+        self._moved = 0
 
     @property
     def flow_count(self) -> int:
@@ -121,13 +124,43 @@
         payload = connection_refused(packet.payload, self._mint.mint())
         self._send(payload, packet.caller, packet.balancer)
 
+    @property
+    def busy_flow_count(self) -> int:
+        """Return the number of flows with an answer that is not whole yet."""
+        return sum(not flow.is_idle for flow in self._connection_ids)
+
+    @property
+    def moved_flow_count(self) -> int:
+        """Return the number of flows that callers closed after GOAWAY."""
+        return self._moved
+
     def announce_leaving(self) -> None:
-        """Tell callers to open their next flow elsewhere."""
+        """Send GOAWAY on every flow, and on those that are still opening."""
+        self._is_leaving = True
+        for flow in self._connection_ids:
+            if flow not in self._half_open:
+                flow.announce_leaving()
+
+    def resume(self) -> None:
+        """Keep the flows that open from now on."""
+        self._is_leaving = False
 
-    def close_all(self) -> None:
-        """Close every flow."""
+    def refuse_requests(self) -> None:
+        """Send the GOAWAY that names the first request not processed."""
+        for flow in self._connection_ids:
+            if flow not in self._half_open:
+                flow.refuse_requests()
+
+    def close_idle(self) -> None:
+        """Close the flows whose answers are whole."""
+        for flow in list(self._connection_ids):
+            if flow.is_idle:
+                self._close(flow, "leaving")
+
+    def close_all(self, reason: str) -> None:
+        """Close every flow, telling callers the reason."""
         for flow in list(self._connection_ids):
-            flow.close()
+            self._close(flow, reason)
 
     def _add_flow(
         self, connection: RoutableQuicConnection, connection_id: bytes
@@ -178,6 +211,13 @@
     def _established(self, flow: Flow) -> None:
         """Note that the handshake of a flow is complete."""
         self._half_open.pop(flow, None)
+        if self._is_leaving:
+            flow.announce_leaving()
+
+    def _close(self, flow: Flow, reason: str) -> None:
+        """Close a flow from this side."""
+        self._closing.add(flow)
+        flow.close_politely(reason)
 
     def _give_up_half_open(self) -> None:
         """Forget openings whose caller went on with another companion."""
@@ -200,9 +240,13 @@
 
     def _end(self, flow: Flow) -> None:
         """Forget a flow that has ended, and record it."""
-        if flow in self._connection_ids:
-            self._forget(flow)
-            self._recorder.record(EventKind.FLOW_CLOSED, flow=flow.name)
+        if flow not in self._connection_ids:
+            return
+        is_moved = flow.is_announced and flow not in self._closing
+        self._forget(flow)
+        self._moved += is_moved
+        detail = "moved" if is_moved else ""
+        self._recorder.record(EventKind.FLOW_CLOSED, flow=flow.name, detail=detail)
 
     def _forget(self, flow: Flow) -> None:
         """Drop all state of a flow."""
@@ -210,3 +254,4 @@
             self._by_connection_id.pop(connection_id, None)
         self._paths.pop(flow, None)
         self._half_open.pop(flow, None)
+        self._closing.discard(flow)
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/builders.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/builders.py
@@ -76,6 +76,8 @@
         self.flows: set[bytes] = set()
         self.taken: list[ForwardedPacket] = []
         self.refused: list[ForwardedPacket] = []
+        self.busy: set[bytes] = set()
+        self.calls: list[str] = []
 
     @property
     def flow_count(self) -> int:
@@ -110,11 +112,30 @@
         """Keep what was refused."""
         self.refused.append(packet)
 
+    @property
+    def busy_flow_count(self) -> int:
+        """Return the number of flows that the test calls busy."""
+        return len(self.busy & self.flows)
+
     def announce_leaving(self) -> None:
-        """Do nothing."""
+        """Keep the call."""
+        self.calls.append("announce")
+
+    def resume(self) -> None:
+        """Keep the call."""
+        self.calls.append("resume")
+
+    def refuse_requests(self) -> None:
+        """Keep the call."""
+        self.calls.append("refuse")
+
+    def close_idle(self) -> None:
+        """Forget the flows that are not busy."""
+        self.flows &= self.busy
 
-    def close_all(self) -> None:
+    def close_all(self, reason: str) -> None:
         """Forget every flow."""
+        self.calls.append(f"close {len(self.flows)}")
         self.flows.clear()
 
 
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_goaway.py
@@ -0,0 +1,162 @@
+"""Tests of GOAWAY and of closing flows, with a caller in memory."""
+
+import asyncio
+import ssl
+import tempfile
+import unittest
+from pathlib import Path
+
+from aioquic.h3.connection import ErrorCode
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import QuicEvent, StreamReset
+
+from harness.builders import routing_token, token_keys
+from harness.certificates import write_certificate
+from pomelotrail_companion.edge import QuicEdge
+from pomelotrail_companion.edge.caller_edge import PacketVerdict
+from pomelotrail_companion.edge.quic_edge import quic_configuration
+from pomelotrail_companion.requests import Answer, Request, RequestHandler
+from pomelotrail_companion.requests.messages import async_pieces
+from pomelotrail_core.clock import SystemClock
+from pomelotrail_core.routing import TokenMint
+from pomelotrail_core.timeline import Recorder
+from stand_ins.caller.goaway import GoawayConnection
+
+from .builders import forwarded
+
+_SERVICE = ("192.0.2.80", 443)
+_BODY = b"x" * 5_000
+_HEADERS = [
+    (b":method", b"GET"),
+    (b":scheme", b"https"),
+    (b":authority", b"localhost"),
+    (b":path", b"/board"),
+]
+
+
+class _Whole(RequestHandler):
+    """Answers at once."""
+
+    async def async_handle(self, request: Request) -> Answer:
+        """Answer one request."""
+        return Answer(200, (), async_pieces(_BODY))
+
+
+class GoawayTest(unittest.IsolatedAsyncioTestCase):
+    """Callers are asked to move, and nothing that runs is cut."""
+
+    async def asyncSetUp(self) -> None:
+        """Open a flow."""
+        with tempfile.TemporaryDirectory() as directory:
+            certificate, key = write_certificate(Path(directory))
+            configuration = quic_configuration(str(certificate), str(key))
+        clock = SystemClock()
+        self.to_caller: list[bytes] = []
+        self.edge = QuicEdge(
+            configuration,
+            TokenMint(token_keys(), routing_token()),
+            _Whole(),
+            lambda data, caller, balancer: self.to_caller.append(data),
+            tuple,
+            clock,
+            Recorder("p", "z", clock),
+        )
+        self.caller = QuicConnection(
+            configuration=QuicConfiguration(
+                is_client=True, alpn_protocols=["h3"], verify_mode=ssl.CERT_NONE
+            )
+        )
+        self.goaways = 0
+        self.quic_events: list[QuicEvent] = []
+        self.events: list[H3Event] = []
+        self.http = GoawayConnection(self.caller, self._count_goaway)
+        self.caller.connect(_SERVICE, now=asyncio.get_running_loop().time())
+        await self.async_exchange()
+
+    def _count_goaway(self) -> None:
+        """Count one GOAWAY frame."""
+        self.goaways += 1
+
+    async def async_exchange(self, rounds: int = 8) -> None:
+        """Carry packets both ways."""
+        loop = asyncio.get_running_loop()
+        for _ in range(rounds):
+            await asyncio.sleep(0)
+            for data, _ in self.caller.datagrams_to_send(loop.time()):
+                packet = forwarded(data)
+                if self.edge.offer(packet) is PacketVerdict.OPENING:
+                    self.edge.open_flow(packet)
+            await asyncio.sleep(0)
+            for data in self.to_caller:
+                self.caller.receive_datagram(data, _SERVICE, loop.time())
+            self.to_caller.clear()
+            self._read_events()
+
+    def _read_events(self) -> None:
+        """Keep what the caller has noticed."""
+        event = self.caller.next_event()
+        while event is not None:
+            self.quic_events.append(event)
+            self.events.extend(self.http.handle_event(event))
+            event = self.caller.next_event()
+
+    def ask(self) -> int:
+        """Send a request and return its stream."""
+        stream_id = self.caller.get_next_available_stream_id()
+        self.http.send_headers(stream_id, _HEADERS, end_stream=True)
+        return stream_id
+
+    def body(self, stream_id: int) -> bytes:
+        """Return what has been received of an answer."""
+        return b"".join(
+            event.data
+            for event in self.events
+            if isinstance(event, DataReceived) and event.stream_id == stream_id
+        )
+
+    async def test_requests_are_answered_after_the_announcement(self) -> None:
+        """GOAWAY asks the caller to move; the flow still serves."""
+        self.edge.announce_leaving()
+        self.edge.announce_leaving()
+        await self.async_exchange()
+        self.assertEqual(self.goaways, 1)
+        stream_id = self.ask()
+        await self.async_exchange()
+        self.assertEqual(self.body(stream_id), _BODY)
+
+    async def test_request_after_the_end_is_rejected(self) -> None:
+        """The caller learns that the request has not been processed."""
+        self.edge.refuse_requests()
+        stream_id = self.ask()
+        await self.async_exchange()
+        resets = [e for e in self.quic_events if isinstance(e, StreamReset)]
+        self.assertEqual([each.stream_id for each in resets], [stream_id])
+        self.assertEqual(resets[0].error_code, ErrorCode.H3_REQUEST_REJECTED)
+        self.assertFalse([e for e in self.events if isinstance(e, HeadersReceived)])
+
+    async def test_answer_that_is_not_acknowledged_keeps_the_flow(self) -> None:
+        """Closing waits for the caller to have the whole answer."""
+        stream_id = self.ask()
+        loop = asyncio.get_running_loop()
+        for data, _ in self.caller.datagrams_to_send(loop.time()):
+            self.edge.offer(forwarded(data))
+        for _ in range(20):
+            await asyncio.sleep(0)
+        self.edge.close_idle()
+        self.assertEqual(self.edge.busy_flow_count, 1)
+        await self.async_exchange()
+        self.assertEqual(self.body(stream_id), _BODY)
+        self.assertEqual(self.edge.busy_flow_count, 0)
+
+    async def test_flow_that_the_caller_closes_has_moved(self) -> None:
+        """It is counted apart from broken ones."""
+        self.edge.announce_leaving()
+        await self.async_exchange()
+        self.caller.close()
+        await self.async_exchange()
+        flow = next(iter(self.edge._connection_ids))
+        flow._handle_timer()
+        self.assertEqual(self.edge.moved_flow_count, 1)
+        self.assertEqual(self.edge.flow_count, 0)
--- a/packages/pomelotrail-companion/pomelotrail_companion/settings.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/settings.py
@@ -1,5 +1,6 @@
 """The settings of a companion."""
 
+from datetime import timedelta
 from pathlib import Path
 from typing import Any, Final
 
@@ -15,7 +16,7 @@
     build_process_settings,
     read_settings,
 )
-from pomelotrail_core.settings.validators import endpoint
+from pomelotrail_core.settings.validators import duration, endpoint
 
 _SCHEMA: Final = vol.Schema(
     {
@@ -24,6 +25,7 @@
         vol.Required("backend_server"): endpoint,
         vol.Required("certificate"): str,
         vol.Required("private_key"): str,
+        vol.Optional("drain_limit"): duration,
     }
 )
 
@@ -34,6 +36,8 @@
 
     ``backend_server`` is where the server beside it listens for HTTP/1.1;
     certificate and private key are PEM files that callers see.
+    ``drain_limit`` is how long a shutdown waits for running requests; None
+    waits for all of them.
     """
 
     process: ProcessSettings
@@ -41,6 +45,7 @@
     backend_server: Endpoint
     certificate: Path
     private_key: Path
+    drain_limit: timedelta | None
 
 
 def read_companion_settings(path: Path) -> Result[CompanionSettings, SettingsError]:
@@ -56,4 +61,5 @@
         backend_server=document["backend_server"],
         certificate=Path(document["certificate"]),
         private_key=Path(document["private_key"]),
+        drain_limit=document.get("drain_limit"),
     )
--- a/stand_ins/caller/client.py
+++ b/stand_ins/caller/client.py
@@ -8,11 +8,12 @@
 import attrs
 from aioquic.asyncio.client import connect
 from aioquic.asyncio.protocol import QuicConnectionProtocol
-from aioquic.h3.connection import H3Connection
 from aioquic.h3.events import DataReceived, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.events import ConnectionTerminated, QuicEvent, StreamReset
 
+from stand_ins.caller.goaway import GoawayConnection
+
 PIECE_BYTES = 65_536
 
 
@@ -55,7 +56,8 @@
     def __init__(self, *arguments: object, **options: object) -> None:
         """Speak HTTP/3 on the connection."""
         super().__init__(*arguments, **options)
-        self._http = H3Connection(self._quic)
+        self.asked_to_go = asyncio.Event()
+        self._http = GoawayConnection(self._quic, self.asked_to_go.set)
         self._answers: dict[int, CallerAnswer] = {}
         self.is_terminated = False
 
