Hold the traffic of a process that woke late until it has caught up

Cause: a balancer or companion that was paused over an order to take a zone out goes on with the old facts as soon as it wakes, before its long poll returns. Ruled out: a check by the tick alone, since the event loop may read sockets before its timers; a queue of our own. The check is an interface, so that peers can be asked as well.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -20,6 +20,7 @@
 from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
+from pomelotrail_core.waking import ServiceCheck, WakeGuard
 
 from .forwarding import Forwarder, PacketCounter, ServiceSocket
 from .returns import FleetSocket
@@ -34,6 +35,7 @@
     def __init__(self, settings: BalancerSettings, clock: Clock) -> None:
         """Make the slices; nothing runs yet."""
         self._settings = settings
+        self._clock = clock
         process = settings.process
         self._recorder = Recorder(process.name, process.zone, clock)
         self._metrics = Metrics(process.name, process.zone)
@@ -81,10 +83,14 @@
             source = ServiceSource(process.configuration_service, session)
             following = asyncio.create_task(self._coordinator.async_follow(source))
             await self._coordinator.async_wait_first()
-            await self._async_listen()
+            check = ServiceCheck(source, self._coordinator, self._clock)
+            guard = WakeGuard(self._clock, check, self._recorder)
+            ticking = asyncio.create_task(guard.async_tick())
+            await self._async_listen(guard)
             announce_ready(process.name)
             await stop.wait()
             self._recorder.record(EventKind.PROCESS_STOPPING)
+            ticking.cancel()
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
@@ -95,21 +101,25 @@
         """Note that a peer has a version which this process has missed."""
         _LOGGER.info("Version %d is in force at %s", version, sender)
 
-    async def _async_listen(self) -> None:
+    async def _async_listen(self, guard: WakeGuard) -> None:
         """Open the sockets for packets."""
         DatagramSocket(
-            self._fleet_socket, self._settings.process.packets.socket_address
+            self._fleet_socket,
+            self._settings.process.packets.socket_address,
+            guard,
         )
         in_force = await self._coordinator.async_wait_first()
         for listen in self._settings.listen:
             if in_force.service(listen.service) is not None:
-                await self._async_listen_for_service(listen)
+                await self._async_listen_for_service(listen, guard)
                 continue
-            task = asyncio.create_task(self._async_listen_later(listen))
+            task = asyncio.create_task(self._async_listen_later(listen, guard))
             self._waiting.add(task)
             task.add_done_callback(self._waiting.discard)
 
-    async def _async_listen_for_service(self, listen: ListenAddress) -> None:
+    async def _async_listen_for_service(
+        self, listen: ListenAddress, guard: WakeGuard
+    ) -> None:
         """Open the socket of one service once the service is published."""
         configuration = await self._coordinator.async_wait_until(
             lambda current: current.service(listen.service) is not None
@@ -126,10 +136,12 @@
             self._dropped,
         )
         self._coordinator.add_listener(socket.configure)
-        DatagramSocket(socket, listen.address.socket_address)
+        DatagramSocket(socket, listen.address.socket_address, guard)
         self._fleet_socket.add_service(service.number, socket)
 
-    async def _async_listen_later(self, listen: ListenAddress) -> None:
+    async def _async_listen_later(
+        self, listen: ListenAddress, guard: WakeGuard
+    ) -> None:
         """Wait for a service that is not in the configuration in force."""
         _LOGGER.warning(
             "Service %r is not in the configuration; listening at %s starts when "
@@ -137,7 +149,7 @@
             listen.service,
             listen.address,
         )
-        await self._async_listen_for_service(listen)
+        await self._async_listen_for_service(listen, guard)
 
 
 async def async_run_balancer(settings: BalancerSettings, stop: asyncio.Event) -> None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -26,6 +26,7 @@
 from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
+from pomelotrail_core.waking import ServiceCheck, WakeGuard
 
 from .admission import AdmissionGate
 from .backend import BackendClient, open_backend_session
@@ -94,10 +95,14 @@
                 self._settings.backend_server, kept, self._clock, fresh
             )
             handler = self._handler(configuration, backend)
-            self._open_edge(configuration, handler)
+            check = ServiceCheck(source, self._coordinator, self._clock)
+            guard = WakeGuard(self._clock, check, self._recorder)
+            ticking = asyncio.create_task(guard.async_tick())
+            self._open_edge(configuration, handler, guard)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
+            ticking.cancel()
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
@@ -119,7 +124,9 @@
             lambda current: _is_listed(current, service, name)
         )
 
-    def _open_edge(self, configuration: Configuration, handler: RequestHandler) -> None:
+    def _open_edge(
+        self, configuration: Configuration, handler: RequestHandler, guard: WakeGuard
+    ) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
         service = configuration.service(self._settings.service)
@@ -140,6 +147,7 @@
                 handler=handler,
                 admission=ConnectionLimit(server.connections),
                 draining=self._draining,
+                hold=guard,
                 roster=self._roster,
                 own_version=lambda: self._coordinator.version,
                 versions=VersionWatch(
--- a/packages/pomelotrail-companion/pomelotrail_companion/draining/leaving.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/leaving.py
@@ -21,7 +21,7 @@
 
     Old flows stay open: their new requests are run by another companion and
     answered here. Requests that must not run twice have a named executor, so
-    they are handed on by the step that owns their tickets, and pass this one.
+    they are handed on by the step before this one, which owns their tickets.
     """
 
     def __init__(
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
@@ -7,7 +7,7 @@
 from pomelotrail_companion.draining.orders import follow_orders
 from pomelotrail_companion.requests import RequestHandler
 from pomelotrail_core.clock import Clock
-from pomelotrail_core.datagrams import DatagramSocket
+from pomelotrail_core.datagrams import DatagramSocket, Hold
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.routing import Encapsulation, RoutingToken, TokenMint, TokenReader
 from pomelotrail_core.routing.version_watch import OwnVersion, VersionWatch
@@ -37,6 +37,7 @@
     handler: RequestHandler
     admission: FlowAdmission
     draining: DrainingState
+    hold: Hold
     roster: Roster
     own_version: OwnVersion
     versions: VersionWatch
@@ -80,5 +81,5 @@
     )
     packet_socket.attach(router)
     follow_orders(context.draining, edge)
-    DatagramSocket(packet_socket, process.packets.socket_address)
+    DatagramSocket(packet_socket, process.packets.socket_address, context.hold)
     return edge
--- a/packages/pomelotrail-core/pomelotrail_core/datagrams.py
+++ b/packages/pomelotrail-core/pomelotrail_core/datagrams.py
@@ -7,21 +7,39 @@
 
 import asyncio
 import socket
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, Protocol
 
 _DATAGRAMS_PER_WAKE: Final = 32
 _MAX_DATAGRAM_BYTES: Final = 65_535
 _RECEIVE_BUFFER_BYTES: Final = 4_194_304
 
 
+class Hold(Protocol):
+    """What can make a socket wait before it reads on."""
+
+    def is_holding(self) -> bool:
+        """Tell whether nothing must be read now."""
+
+    def call_when_released(self, released: Callable[[], None]) -> None:
+        """Call a function once reading may go on."""
+
+
 class DatagramSocket(asyncio.DatagramTransport):
     """Reads datagrams for a protocol and sends without a queue."""
 
     def __init__(
-        self, protocol: asyncio.DatagramProtocol, address: tuple[str, int]
+        self,
+        protocol: asyncio.DatagramProtocol,
+        address: tuple[str, int],
+        hold: Hold | None = None,
     ) -> None:
-        """Bind to an address and give what arrives to the protocol."""
+        """Bind to an address and give what arrives to the protocol.
+
+        While ``hold`` is holding, datagrams stay in the kernel's buffer.
+        """
         super().__init__()
+        self._hold = hold
         self._protocol = protocol
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -32,7 +50,7 @@
         self._send = self._socket.sendto
         self._loop = asyncio.get_running_loop()
         self._unsent = 0
-        self._loop.add_reader(self._socket.fileno(), self._read)
+        self._resume()
         protocol.connection_made(self)
 
     @property
@@ -65,8 +83,17 @@
         """Close at once, as ``close`` does."""
         self.close()
 
+    def _resume(self) -> None:
+        """Read from now on."""
+        if not self.is_closing():
+            self._loop.add_reader(self._socket.fileno(), self._read)
+
     def _read(self) -> None:
         """Give what has arrived to the protocol."""
+        if self._hold is not None and self._hold.is_holding():
+            self._loop.remove_reader(self._socket.fileno())
+            self._hold.call_when_released(self._resume)
+            return
         receive = self._socket.recvfrom
         received = self._protocol.datagram_received
         for _ in range(_DATAGRAMS_PER_WAKE):
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/waking/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of waking late."""
