--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -28,13 +28,15 @@
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
+from pomelotrail_core.waking import ServiceCheck, WakeGuard
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.shutdown import GracefulShutdown
 from .draining.state import ServingState
 from .edge import ConnectionLimit, QuicEdge
-from .edge.assembly import EdgeContext, async_open_edge
+from .edge.assembly import EdgeContext, open_edge
 from .ledger import GrpcPeers, Once, RelayService, ServicePeers
 from .requests import Dispatcher, RequestHandler
 from .requests.accounting import RequestAccounting
@@ -114,10 +116,14 @@
                 self._settings.backend_server, kept, self._clock, fresh
             )
             handler = self._handler(configuration, backend)
-            await self._async_open_edge(configuration, handler)
+            check = ServiceCheck(source, self._coordinator, self._clock)
+            guard = WakeGuard(self._clock, check, self._recorder)
+            ticking = asyncio.create_task(guard.async_tick())
+            self._open_edge(configuration, handler, guard)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
+            ticking.cancel()
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
@@ -140,8 +146,8 @@
             lambda current: _is_listed(current, service, name)
         )
 
-    async def _async_open_edge(
-        self, configuration: Configuration, handler: RequestHandler
+    def _open_edge(
+        self, configuration: Configuration, handler: RequestHandler, guard: WakeGuard
     ) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
@@ -154,7 +160,7 @@
         token = RoutingToken(
             zone.number, process.packets, service.number, self._incarnation & 0xFFFF
         )
-        self._edge = await async_open_edge(
+        self._edge = open_edge(
             EdgeContext(
                 process=process,
                 token=token,
@@ -163,6 +169,7 @@
                 handler=handler,
                 admission=ConnectionLimit(server.connections),
                 draining=self._draining,
+                hold=guard,
                 roster=self._roster,
                 own_version=lambda: self._coordinator.version,
                 versions=VersionWatch(
@@ -216,15 +223,19 @@
         return dispatcher
 
     async def _async_leave(self) -> None:
-        """Take no more work and close the flows."""
-        self._recorder.record(EventKind.PROCESS_STOPPING)
-        self._draining.stop()
-        if self._edge is not None:
-            self._edge.announce_leaving()
+        """Take no more work, and end when the running requests have."""
+        if self._edge is None:
+            return
+        shutdown = GracefulShutdown(
+            self._edge,
+            self._draining,
+            self._clock,
+            self._recorder,
+            self._settings.drain_limit,
+        )
+        await shutdown.async_run()
         if self._once is not None:
             await self._once.executions.async_settle()
-        if self._edge is not None:
-            self._edge.close_all()
 
     def _flow_count(self) -> int:
         """Return the number of open flows."""
@@ -233,8 +244,10 @@
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
         admission = {} if self._scheduler is None else self._scheduler.figures()
+        moved = 0 if self._edge is None else self._edge.moved_flow_count
         return {
             "flows": float(self._flow_count()),
+            "flows_moved": float(moved),
             **self._accounting.figures,
             **admission,
         }
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/ending.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/ending.py
@@ -15,8 +15,16 @@
 _STATES: Final = (EventKind.ZONE_OUT, EventKind.ZONE_BACK, EventKind.DRAINING)
 
 
+def fell_silent(termination: ConnectionTerminated | None) -> bool:
+    """Tell whether a flow ended without a close from either side."""
+    return termination is not None and termination.reason_phrase == IDLE_PHRASE
+
+
 def record_ending(
-    recorder: Recorder, flow: str, termination: ConnectionTerminated | None
+    recorder: Recorder,
+    flow: str,
+    termination: ConnectionTerminated | None,
+    is_moved: bool = False,
 ) -> None:
     """Record a flow as closed, given up with its zone, or broken.
 
@@ -32,7 +40,10 @@
             detail="given up with its availability zone",
         )
         return
-    if termination is not None and termination.reason_phrase == IDLE_PHRASE:
+    if is_moved:
+        recorder.record(EventKind.FLOW_CLOSED, flow=flow, detail="moved")
+        return
+    if fell_silent(termination):
         detail = "the caller or the path to it fell silent"
         recorder.record(EventKind.FLOW_BROKEN, flow=flow, detail=detail)
         return
