Configuration spreads through a tree of streams with two parents

Cause: every process held its own watch at the service, so calls grew with the fleet, and a process that could not reach the service stayed behind.

Three readers in each zone hold the watch. Every other process follows one parent in the tier above of its own zone and one of another zone, chosen by rendezvous so that a joining process moves few others. Messages are deltas or beats with the age of the news; a whole document is only sent when asked for. A process that no news reaches asks the service within its share of the budget. A new or woken process compares versions with parents, peers and the service.

The service stand-in serves parts.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from pomelotrail_core.clock import Clock, SystemClock
-from pomelotrail_core.configuration import ConfigurationCoordinator, ServiceSource
+from pomelotrail_core.configuration import ConfigurationCoordinator
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.metrics import Metrics
@@ -15,6 +15,7 @@
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
+from pomelotrail_core.spread import ProcessSpread
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
@@ -45,9 +46,13 @@
         self._fleet_socket = FleetSocket(
             self._encapsulation, self._metrics.meter("returns")
         )
+        self._spread = ProcessSpread(
+            process, self._coordinator, self._roster, clock, self._recorder
+        )
         self._control = ControlServer(
             process.control,
             [
+                *self._spread.handlers,
                 TimelineService(self._recorder),
                 StatusService(
                     process.name,
@@ -69,9 +74,8 @@
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
         async with aiohttp.ClientSession() as session:
-            source = ServiceSource(process.configuration_service, session)
-            following = asyncio.create_task(self._coordinator.async_follow(source))
-            await self._coordinator.async_wait_first()
+            following = self._spread.start(session)
+            await self._spread.async_wait_ready()
             await self._async_listen()
             announce_ready(process.name)
             await stop.wait()
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -13,7 +13,6 @@
     Configuration,
     ConfigurationCoordinator,
     Service,
-    ServiceSource,
 )
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
@@ -22,6 +21,7 @@
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import Encapsulation, RoutingToken, TokenMint
+from pomelotrail_core.spread import ProcessSpread
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
@@ -55,9 +55,13 @@
         self._draining = DrainingState(process.name, process.zone, self._recorder)
         self._roster = Roster()
         self._edge: QuicEdge | None = None
+        self._spread = ProcessSpread(
+            process, self._coordinator, self._roster, clock, self._recorder
+        )
         self._control = ControlServer(
             process.control,
             [
+                *self._spread.handlers,
                 TimelineService(self._recorder),
                 StatusService(
                     process.name,
@@ -79,9 +83,8 @@
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
         async with aiohttp.ClientSession(auto_decompress=False) as session:
-            source = ServiceSource(process.configuration_service, session)
-            following = asyncio.create_task(self._coordinator.async_follow(source))
-            configuration = await self._coordinator.async_wait_first()
+            following = self._spread.start(session)
+            configuration = await self._spread.async_wait_ready()
             await self._async_open_edge(configuration, session)
             announce_ready(process.name)
             await stop.wait()
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import OrderedDict
 from collections.abc import Callable
 
 from result import Err, Ok
@@ -10,7 +11,7 @@
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.timeline import EventKind, Recorder
 
-from .const import SERVICE_RETRY_MAX, SERVICE_RETRY_MIN
+from .const import REFUSED_KEPT, SERVICE_RETRY_MAX, SERVICE_RETRY_MIN
 from .document import Configuration
 from .parser import ConfigurationParser
 from .source import ConfigurationSource, Document
@@ -41,6 +42,7 @@
         self._rng = rng
         self._current: Configuration | None = None
         self._document: Document | None = None
+        self._refused: OrderedDict[bytes, int] = OrderedDict()
         self._listeners: list[Listener] = []
         self._first = asyncio.Event()
 
@@ -59,6 +61,10 @@
         """Return the version in force; 0 before the first."""
         return self._current.version if self._current else 0
 
+    def has_refused(self, digest: bytes) -> bool:
+        """Tell whether a document with this digest was refused lately."""
+        return digest in self._refused
+
     def add_listener(self, listener: Listener) -> None:
         """Call ``listener`` with each version, the one in force included."""
         self._listeners.append(listener)
@@ -73,7 +79,7 @@
 
     def offer(self, document: Document, source: str) -> bool:
         """Check a document and adopt it if its version is higher."""
-        if document.version <= self.version:
+        if document.version <= self.version or document.digest in self._refused:
             return False
         match self._parser.parse(document.text, source):
             case Err(error):
@@ -81,10 +87,17 @@
                 self._recorder.record(
                     EventKind.CONFIGURATION_REFUSED, detail=str(error)
                 )
+                self._refuse(document)
                 return False
             case Ok(configuration):
                 return self._adopt(configuration, document, source)
 
+    def _refuse(self, document: Document) -> None:
+        """Remember a broken document, so that it is not parsed again."""
+        self._refused[document.digest] = document.version
+        while len(self._refused) > REFUSED_KEPT:
+            self._refused.popitem(last=False)
+
     def _adopt(
         self, configuration: Configuration, document: Document, source: str
     ) -> bool:
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/delta.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/delta.py
@@ -15,9 +15,9 @@
 from result import Err, Ok, Result
 
 from .const import MAX_STREAM_BYTES
+from .delta_pb2 import Delta, Step
 from .errors import DeltaError
 from .source import Document
-from .spread_pb2 import Delta, Step
 from .stream import SEPARATOR
 
 _LEVEL: Final = 6
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/document.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/document.py
@@ -112,6 +112,18 @@
         """Return the service of that name, or None."""
         return self._services_by_name.get(name)
 
+    @cached_property
+    def _processes_by_packets(self) -> dict[Endpoint, Balancer | BackendServer]:
+        """Return every process by its address for packets."""
+        processes = {each.packets: each for each in self.balancers}
+        for service in self.services:
+            processes.update({each.packets: each for each in service.backend_servers})
+        return processes
+
+    def process_at(self, packets: Endpoint) -> Balancer | BackendServer | None:
+        """Return the process that takes packets at an address, or None."""
+        return self._processes_by_packets.get(packets)
+
     def zone(self, name: str) -> AvailabilityZone | None:
         """Return the availability zone of that name, or None."""
         return next((zone for zone in self.zones if zone.name == name), None)
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/source.py
@@ -1,11 +1,13 @@
 """Where configuration comes from, as an interface."""
 
 import abc
+from datetime import timedelta
 from functools import cached_property
 
 import attrs
 from result import Result
 
+from .const import LONG_POLL
 from .errors import SourceError
 from .stream import text_digest
 
@@ -35,5 +37,7 @@
         """Return the name for log lines."""
 
     @abc.abstractmethod
-    async def async_next(self, after: int) -> Result[Document | None, SourceError]:
+    async def async_next(
+        self, after: int, wait: timedelta = LONG_POLL
+    ) -> Result[Document | None, SourceError]:
         """Wait for a version above ``after``; None when the wait ended first."""
--- a/packages/pomelotrail-core/pomelotrail_core/membership/membership_grpc.py
+++ b/packages/pomelotrail-core/pomelotrail_core/membership/membership_grpc.py
@@ -15,16 +15,16 @@
 class MonitorBase(abc.ABC):
 
     @abc.abstractmethod
-    async def Heartbeat(self, stream: 'grpclib.server.Stream[pomelotrail_core.membership.membership_pb2.HeartbeatRequest, pomelotrail_core.membership.membership_pb2.HeartbeatReply]') -> None:
+    async def Watch(self, stream: 'grpclib.server.Stream[pomelotrail_core.membership.membership_pb2.Heartbeat, pomelotrail_core.membership.membership_pb2.WatchReply]') -> None:
         pass
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            '/pomelotrail.membership.Monitor/Heartbeat': grpclib.const.Handler(
-                self.Heartbeat,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                pomelotrail_core.membership.membership_pb2.HeartbeatRequest,
-                pomelotrail_core.membership.membership_pb2.HeartbeatReply,
+            '/pomelotrail.membership.Monitor/Watch': grpclib.const.Handler(
+                self.Watch,
+                grpclib.const.Cardinality.STREAM_UNARY,
+                pomelotrail_core.membership.membership_pb2.Heartbeat,
+                pomelotrail_core.membership.membership_pb2.WatchReply,
             ),
         }
 
@@ -32,9 +32,9 @@
 class MonitorStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Heartbeat = grpclib.client.UnaryUnaryMethod(
+        self.Watch = grpclib.client.StreamUnaryMethod(
             channel,
-            '/pomelotrail.membership.Monitor/Heartbeat',
-            pomelotrail_core.membership.membership_pb2.HeartbeatRequest,
-            pomelotrail_core.membership.membership_pb2.HeartbeatReply,
+            '/pomelotrail.membership.Monitor/Watch',
+            pomelotrail_core.membership.membership_pb2.Heartbeat,
+            pomelotrail_core.membership.membership_pb2.WatchReply,
         )
--- a/packages/pomelotrail-core/pomelotrail_core/settings/process_settings.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/process_settings.py
@@ -18,6 +18,7 @@
 
 from .errors import SettingsError
 from .loader import load_settings
+from .tls_files import TLS_SCHEMA, TlsFiles, build_tls_files
 from .validators import endpoint, hex_key
 
 SettingsT = TypeVar("SettingsT")
@@ -34,6 +35,8 @@
     vol.Required("control"): endpoint,
     vol.Optional("metrics"): endpoint,
     vol.Required("configuration_service"): vol.All(str, vol.Match(r"^https?://")),
+    vol.Optional("peers", default=[]): [endpoint],
+    vol.Optional("tls"): TLS_SCHEMA,
     vol.Required("fleet_key"): hex_key(FLEET_KEY_BYTES),
     vol.Required("token_keys"): vol.All([_TOKEN_KEY], vol.Length(min=1)),
     vol.Optional("log_level", default="info"): vol.In(
@@ -48,6 +51,7 @@
 
     ``packets`` is the UDP address for encapsulated packets, ``control`` the
     address of the grpclib server. The first token key seals new tokens.
+    ``peers`` are control addresses that a new process asks beside the service.
     """
 
     name: str
@@ -59,6 +63,8 @@
     fleet_key: bytes = attrs.field(repr=False)
     token_keys: TokenKeys = attrs.field(repr=False)
     log_level: str
+    peers: tuple[Endpoint, ...] = ()
+    tls: TlsFiles | None = None
 
 
 def read_settings(
@@ -85,4 +91,6 @@
         fleet_key=document["fleet_key"],
         token_keys=TokenKeys(document["token_keys"][0]["generation"], keys),
         log_level=document["log_level"],
+        peers=tuple(document["peers"]),
+        tls=build_tls_files(document.get("tls")),
     )
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/tls_files.py
@@ -0,0 +1,30 @@
+"""Where the certificates for control connections are."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Final
+
+import attrs
+import voluptuous as vol
+
+TLS_SCHEMA: Final = {
+    vol.Required("authority"): str,
+    vol.Required("certificate"): str,
+    vol.Required("private_key"): str,
+}
+
+
+@attrs.frozen
+class TlsFiles:
+    """PEM files: the fleet's certificate authority, own certificate and key."""
+
+    authority: Path
+    certificate: Path
+    private_key: Path
+
+
+def build_tls_files(entry: Mapping[str, str] | None) -> TlsFiles | None:
+    """Make the paths of a checked mapping; None without one."""
+    if entry is None:
+        return None
+    return TlsFiles(**{key: Path(value) for key, value in entry.items()})
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/tests/test_spread.py
@@ -0,0 +1,382 @@
+"""Tests of the spread over a fake network in virtual time."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from harness.virtual_time import run_in_virtual_time
+from pomelotrail_core.configuration.delta import compress
+from pomelotrail_core.configuration.source import Document
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.spread.const import (
+    RETRY_MAX,
+    SILENCE,
+    STALE_AFTER,
+)
+from pomelotrail_core.spread.spread_pb2 import SpreadMessage
+
+from .fakes import FakeFleet, Peer
+
+IN_FORCE_SECONDS: Final = 3.0
+CONTROL_BYTES_PER_S: Final = 3_000
+# A parent is left when it is silent, then a few candidates are tried in turn.
+HEAL_SECONDS: Final = (SILENCE + 8 * RETRY_MAX).total_seconds()
+SERVERS: Final = 100
+FEW_SERVERS: Final = 20
+BALANCERS: Final = 20
+ZONES: Final = 5
+
+Scenario = Callable[[FakeFleet], Awaitable[None]]
+
+
+def run_fleet(scenario: Scenario, servers: int = SERVERS) -> None:
+    """Run a scenario with a fleet that has version 1 in force."""
+
+    async def _async_main() -> None:
+        fleet = FakeFleet(servers, BALANCERS, ZONES)
+        fleet.publish()
+        fleet.start()
+        try:
+            await fleet.async_wait_for(1, HEAL_SECONDS)
+            await asyncio.sleep(SILENCE.total_seconds())
+            await scenario(fleet)
+        finally:
+            await fleet.async_stop()
+
+    run_in_virtual_time(_async_main())
+
+
+class SpreadTest(unittest.TestCase):
+    """Changes reach everybody, within the budgets."""
+
+    def test_in_force_everywhere_in_time(self) -> None:
+        """Each of several changes is in force at every peer within 3 s."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            for _ in range(5):
+                took = await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+                self.assertLessEqual(took, IN_FORCE_SECONDS)
+            self.assertEqual(fleet.reverts(), 0)
+
+        run_fleet(_async_scenario)
+
+    def test_calls_and_bytes_within_budget(self) -> None:
+        """Only readers call; no peer exceeds the bytes for control."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            before = len(fleet.service.calls)
+            for peer in fleet.peers.values():
+                peer.sent_bytes = peer.received_bytes = 0
+            for _ in range(6):
+                await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+                await asyncio.sleep(10)
+            seconds = 60
+            calls = (len(fleet.service.calls) - before) / seconds
+            readers = sum(peer.spreader.is_reader() for peer in fleet.honest)
+            self.assertEqual(readers, 3 * ZONES)
+            self.assertLessEqual(calls, readers * 0.4)
+            busiest = max(p.sent_bytes + p.received_bytes for p in fleet.honest)
+            self.assertLessEqual(busiest / seconds, CONTROL_BYTES_PER_S)
+
+        run_fleet(_async_scenario)
+
+    def test_calls_do_not_grow_with_processes(self) -> None:
+        """Twice the processes in the same zones make no more calls."""
+        calls: list[int] = []
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            before = len(fleet.service.calls)
+            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+            await asyncio.sleep(30)
+            calls.append(len(fleet.service.calls) - before)
+
+        run_fleet(_async_scenario, servers=50)
+        run_fleet(_async_scenario, servers=150)
+        self.assertLessEqual(calls[1], calls[0] * 1.1)
+
+    def test_readers_crash(self) -> None:
+        """With every reader of a zone gone, the zone is fed from another."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            for reader in fleet.tree().readers(fleet.zones[0]):
+                fleet.crash(fleet.by_name(reader.name))
+            took = await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+            self.assertLessEqual(took, IN_FORCE_SECONDS)
+
+        run_fleet(_async_scenario)
+
+    def test_silent_parent_is_replaced(self) -> None:
+        """A parent that says nothing any more gives way to another one."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            child = next(p for p in fleet.honest if not p.spreader.is_reader())
+            silent = child.spreader.followers[0].parent
+            fleet.crash(fleet.by_name(silent.name))
+            await asyncio.sleep((SILENCE + 3 * RETRY_MAX).total_seconds())
+            parent = child.spreader.followers[0].parent
+            self.assertIsNotNone(parent)
+            self.assertNotEqual(parent.name, silent.name)
+
+        run_fleet(_async_scenario, FEW_SERVERS)
+
+    def test_zone_cut_from_the_others(self) -> None:
+        """A zone that reaches only the service is as fast as the others."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            alone = fleet.zones[1]
+            fleet.cut(lambda one, other: (one == alone) != (other == alone))
+            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+
+        run_fleet(_async_scenario)
+
+    def test_service_down_for_long(self) -> None:
+        """What is in force stays; calls keep to the budget; recovery is quick."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            fleet.service.is_down = True
+            before = len(fleet.service.calls)
+            await asyncio.sleep(600)
+            self.assertTrue(all(p.coordinator.version == 1 for p in fleet.honest))
+            self.assertTrue(all(p.spreader.freshness.is_stale for p in fleet.honest))
+            rate = (len(fleet.service.calls) - before) / 600
+            readers = sum(peer.spreader.is_reader() for peer in fleet.honest)
+            others = len(fleet.peers) - readers
+            self.assertLessEqual(rate, readers * 2 + others)
+            fleet.service.is_down = False
+            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+
+        run_fleet(_async_scenario, FEW_SERVERS)
+
+    def test_service_back_with_an_older_version(self) -> None:
+        """An older version of the service changes nothing anywhere."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            old = fleet.service.published[0]
+            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+            fleet.service.show(old)
+            await asyncio.sleep(60)
+            self.assertEqual(fleet.reverts(), 0)
+            self.assertTrue(all(p.coordinator.version == 2 for p in fleet.honest))
+
+        run_fleet(_async_scenario)
+
+    def test_broken_document_of_the_service(self) -> None:
+        """A document that can't be used is in force nowhere; the next one is."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            fleet.service.publish(Document(2, "version: 2\n"))
+            await asyncio.sleep(20)
+            self.assertTrue(all(p.coordinator.version == 1 for p in fleet.honest))
+            fleet.content["version"] = 2
+            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+
+        run_fleet(_async_scenario)
+
+    def test_new_process_takes_the_highest(self) -> None:
+        """A process that joins while the service is stale takes its peers' version."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            old = fleet.service.published[0]
+            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+            fleet.service.show(old)
+            joined = fleet.add("late", fleet.zones[0], Endpoint("192.0.2.1", 1))
+            fleet.start()
+            configuration = await joined.spreader.async_wait_ready()
+            self.assertEqual(configuration.version, 2)
+
+        run_fleet(_async_scenario)
+
+    def test_bootstrap_without_the_service(self) -> None:
+        """A new process starts from the peers in its settings."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            fleet.service.is_down = True
+            known = next(iter(fleet.peers))
+            joined = fleet.add(
+                "late", fleet.zones[0], Endpoint("192.0.2.1", 1), bootstrap=(known,)
+            )
+            fleet.start()
+            async with asyncio.timeout(IN_FORCE_SECONDS):
+                await joined.spreader.async_wait_ready()
+
+        run_fleet(_async_scenario)
+
+    def test_comparison_after_a_pause(self) -> None:
+        """A process that slept compares versions and has the highest afterwards."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            sleeper = fleet.honest[0]
+            fleet.crash(sleeper)
+            await asyncio.sleep(1)
+            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+            comparison = await sleeper.spreader.async_compare_versions()
+            self.assertTrue(comparison.is_sound)
+            self.assertEqual(comparison.version, 2)
+
+        run_fleet(_async_scenario)
+
+    def test_comparison_when_cut_off_is_bounded(self) -> None:
+        """Nobody answers: the comparison ends in time and says so."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            fleet.service.is_down = True
+            fleet.cut(lambda one, other: True)
+            start = fleet.clock.monotonic()
+            comparison = await fleet.honest[0].spreader.async_compare_versions()
+            self.assertFalse(comparison.is_sound)
+            self.assertLess((fleet.clock.monotonic() - start).total_seconds(), 2)
+
+        run_fleet(_async_scenario)
+
+    def test_packet_with_a_higher_version(self) -> None:
+        """A version told by a packet is fetched from the peer that told it."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            behind = fleet.honest[0]
+            fleet.crash(behind)
+            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+            assert behind.coordinator.current is not None
+            teller = behind.coordinator.current.balancers[5]
+            behind.spreader.hear_of(2, teller.packets)
+            await asyncio.sleep(0.5)
+            self.assertEqual(behind.coordinator.version, 2)
+
+        run_fleet(_async_scenario)
+
+
+class LyingParentTest(unittest.TestCase):
+    """Parents that are wrong delay nobody and convince nobody."""
+
+    def check(self, lie: Callable[[SpreadMessage], SpreadMessage]) -> None:
+        """Make the first readers' children's parents lie, then publish."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            liars: list[Peer] = []
+            for zone in fleet.zones:
+                liars.append(fleet.by_name(fleet.tree().readers(zone)[0].name))
+            for liar in liars:
+                liar.lie = lie
+            version = fleet.publish()
+            await fleet.async_wait_for(version, HEAL_SECONDS)
+            await asyncio.sleep(30)
+            self.assertEqual(fleet.reverts(), 0)
+            self.assertTrue(all(p.coordinator.version == 2 for p in fleet.honest))
+            texts = {p.coordinator.document.text for p in fleet.honest}
+            self.assertEqual(texts, {fleet.service.published[-1].text})
+
+        run_fleet(_async_scenario, FEW_SERVERS * 2)
+
+    def test_higher_version_that_is_not_there(self) -> None:
+        """A version that nobody can give is never in force."""
+
+        def lie(message: SpreadMessage) -> SpreadMessage:
+            message.version = 999
+            message.digest = b"x" * 16
+            return message
+
+        self.check(lie)
+
+    def test_broken_document(self) -> None:
+        """A document that can't be used is never in force."""
+
+        def lie(message: SpreadMessage) -> SpreadMessage:
+            message.version = 999
+            message.ClearField("delta")
+            message.document = compress("version: 999\nzones: []\n")
+            return message
+
+        self.check(lie)
+
+    def test_broken_delta(self) -> None:
+        """A delta that gives another document is not taken."""
+
+        def lie(message: SpreadMessage) -> SpreadMessage:
+            if message.delta:
+                message.delta = message.delta[:-1]
+            return message
+
+        self.check(lie)
+
+    def test_older_version(self) -> None:
+        """A parent that stays behind holds nobody back."""
+
+        def lie(message: SpreadMessage) -> SpreadMessage:
+            message.version = 1
+            message.ClearField("delta")
+            message.ClearField("digest")
+            return message
+
+        self.check(lie)
+
+
+_FAULTS: Final = st.sampled_from(
+    [
+        "publish",
+        "cut zone",
+        "cut all",
+        "heal",
+        "crash",
+        "restart",
+        "service down",
+        "service up",
+        "service stale",
+        "wait",
+    ]
+)
+
+
+class FaultsTest(unittest.TestCase):
+    """Whatever fails, nothing reverts, and everybody converges in the end."""
+
+    @settings(max_examples=8)
+    @given(st.lists(st.tuples(_FAULTS, st.integers(0, 1000)), max_size=12))
+    def test_any_order_of_faults(self, faults: list[tuple[str, int]]) -> None:
+        """After the last heal every peer has the published document."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            start = asyncio.get_running_loop().time()
+            for fault, number in faults:
+                _inject(fleet, fault, number)
+                await asyncio.sleep(number / 100)
+            fleet.heal()
+            fleet.service.is_down = False
+            version = fleet.publish()
+            await fleet.async_wait_for(version, HEAL_SECONDS)
+            await asyncio.sleep(STALE_AFTER.total_seconds())
+            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
+            self.assertEqual(fleet.reverts(), 0)
+            texts = {p.coordinator.document.text for p in fleet.honest}
+            self.assertEqual(texts, {fleet.service.published[-1].text})
+            seconds = asyncio.get_running_loop().time() - start
+            busiest = max(p.sent_bytes + p.received_bytes for p in fleet.honest)
+            self.assertLessEqual(busiest / seconds, CONTROL_BYTES_PER_S)
+
+        run_fleet(_async_scenario, FEW_SERVERS * 2)
+
+
+def _inject(fleet: FakeFleet, fault: str, number: int) -> None:
+    """Bring about one fault."""
+    zone = fleet.zones[number % ZONES]
+    peer = list(fleet.peers.values())[number % len(fleet.peers)]
+    match fault:
+        case "publish":
+            fleet.publish()
+        case "cut zone":
+            fleet.cut(lambda one, other: (one == zone) != (other == zone))
+        case "cut all":
+            fleet.cut(lambda one, other: True)
+        case "heal":
+            fleet.heal()
+        case "crash":
+            fleet.crash(peer)
+        case "restart":
+            fleet.start()
+        case "service down" | "service up":
+            fleet.service.is_down = fault == "service down"
+        case "service stale":
+            published = fleet.service.published
+            fleet.service.show(published[number % len(published)])
--- a/stand_ins/configuration_service/service.py
+++ b/stand_ins/configuration_service/service.py
@@ -28,6 +28,7 @@
         self._mode = Mode.UP
         self._version = 0
         self._text = ""
+        self._parts: dict[str, str] = {}
         self._stale: tuple[int, str] | None = None
         self._published = asyncio.Condition()
 
@@ -35,6 +36,8 @@
         """Return the web application, with its controls under ``/admin``."""
         application = web.Application(client_max_size=4_000_000)
         application.router.add_get("/v1/configuration", self.async_read)
+        application.router.add_get("/v1/configuration/parts/{key}", self.async_part)
+        application.router.add_put("/admin/parts/{key}", self.async_publish_part)
         application.router.add_put("/admin/document", self.async_publish)
         application.router.add_post("/admin/mode/{mode}", self.async_set_mode)
         application.router.add_get("/admin/calls", self.async_calls)
@@ -72,6 +75,21 @@
             self._published.notify_all()
         return web.Response()
 
+    async def async_part(self, request: web.Request) -> web.Response:
+        """Answer with one part of a large document."""
+        self.calls += 1
+        if self._mode is Mode.DOWN:
+            return web.Response(status=503)
+        text = self._parts.get(request.match_info["key"])
+        if text is None:
+            return web.Response(status=404)
+        return web.Response(text=text)
+
+    async def async_publish_part(self, request: web.Request) -> web.Response:
+        """Publish a part, before the document that lists it."""
+        self._parts[request.match_info["key"]] = await request.text()
+        return web.Response()
+
     async def async_set_mode(self, request: web.Request) -> web.Response:
         """Change how the service behaves."""
         self._mode = Mode(request.match_info["mode"])
