--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -8,6 +8,7 @@
 
 from pomelotrail_core.clock import Clock, SystemClock
 from pomelotrail_core.configuration import ConfigurationCoordinator
+from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.metrics import Metrics
@@ -15,11 +16,12 @@
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
+from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.spread import ProcessSpread
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
-from .forwarding import Forwarder, ServiceSocket
+from .forwarding import Forwarder, PacketCounter, ServiceSocket
 from .returns import FleetSocket
 from .settings import BalancerSettings, ListenAddress
 
@@ -43,12 +45,18 @@
         self._forwarder = Forwarder(
             TokenReader(process.token_keys), self._roster, RendezvousRanking()
         )
+        meter = self._metrics.meter("forwarding")
+        self._forwarded = PacketCounter(meter, "forwarded_packets", "service")
+        self._dropped = PacketCounter(meter, "dropped_packets")
         self._fleet_socket = FleetSocket(
-            self._encapsulation, self._metrics.meter("returns")
+            self._encapsulation,
+            VersionWatch(lambda: self._coordinator.version, self._newer_version_seen),
+            self._metrics.meter("returns"),
         )
         self._spread = ProcessSpread(
             process, self._coordinator, self._roster, clock, self._recorder
         )
+        self._waiting: set[asyncio.Task[None]] = set()
         self._control = ControlServer(
             process.control,
             [
@@ -86,6 +94,11 @@
         await self._control.async_stop()
         await self._metrics.async_stop()
 
+    def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
+        """Ask for a version which this process has missed."""
+        _LOGGER.info("Version %d is in force at %s", version, sender)
+        self._spread.hear_of(version, sender)
+
     async def _async_listen(self) -> None:
         """Open the sockets for packets."""
         loop = asyncio.get_running_loop()
@@ -93,20 +106,22 @@
             lambda: self._fleet_socket,
             local_addr=self._settings.process.packets.socket_address,
         )
+        in_force = await self._coordinator.async_wait_first()
         for listen in self._settings.listen:
-            await self._async_listen_for_service(listen)
+            if in_force.service(listen.service) is not None:
+                await self._async_listen_for_service(listen)
+                continue
+            task = asyncio.create_task(self._async_listen_later(listen))
+            self._waiting.add(task)
+            task.add_done_callback(self._waiting.discard)
 
     async def _async_listen_for_service(self, listen: ListenAddress) -> None:
-        """Open the socket of one service."""
-        assert self._coordinator.current is not None
-        service = self._coordinator.current.service(listen.service)
-        if service is None:
-            _LOGGER.error(
-                "Service %r is not in the configuration; not listening at %s",
-                listen.service,
-                listen.address,
-            )
-            return
+        """Open the socket of one service once the service is published."""
+        configuration = await self._coordinator.async_wait_until(
+            lambda current: current.service(listen.service) is not None
+        )
+        service = configuration.service(listen.service)
+        assert service is not None
         socket = ServiceSocket(
             service.number,
             self._settings.process.packets,
@@ -114,13 +129,24 @@
             self._encapsulation,
             lambda: self._coordinator.version,
             self._fleet_socket.send,
-            self._metrics.meter("forwarding"),
+            self._forwarded,
+            self._dropped,
         )
         await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: socket, local_addr=listen.address.socket_address
         )
         self._fleet_socket.add_service(service.number, socket)
 
+    async def _async_listen_later(self, listen: ListenAddress) -> None:
+        """Wait for a service that is not in the configuration in force."""
+        _LOGGER.warning(
+            "Service %r is not in the configuration; listening at %s starts when "
+            "it is published. Check the name in the settings",
+            listen.service,
+            listen.address,
+        )
+        await self._async_listen_for_service(listen)
+
 
 async def async_run_balancer(settings: BalancerSettings, stop: asyncio.Event) -> None:
     """Run a balancer on the system's clock until ``stop`` is set."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -14,22 +14,24 @@
     ConfigurationCoordinator,
     Service,
 )
+from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.metrics import Metrics
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
-from pomelotrail_core.routing import Encapsulation, RoutingToken, TokenMint
+from pomelotrail_core.routing import RoutingToken
+from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.spread import ProcessSpread
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
 from .admission import AdmissionGate
-from .backend import BackendClient
+from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
-from .edge import PacketSocket, QuicEdge
-from .edge.quic_edge import quic_configuration
+from .edge import ConnectionLimit, QuicEdge
+from .edge.assembly import EdgeContext, async_open_edge
 from .requests import Dispatcher, RequestHandler
 from .settings import CompanionSettings
 
@@ -82,10 +84,19 @@
         await self._control.async_start()
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
-        async with aiohttp.ClientSession(auto_decompress=False) as session:
+        async with (
+            aiohttp.ClientSession() as session,
+            open_backend_session(is_reusing_connections=True) as kept,
+            open_backend_session(is_reusing_connections=False) as fresh,
+        ):
             following = self._spread.start(session)
-            configuration = await self._spread.async_wait_ready()
-            await self._async_open_edge(configuration, session)
+            await self._spread.async_wait_ready()
+            configuration = await self._async_wait_listed()
+            backend = BackendClient(
+                self._settings.backend_server, kept, self._clock, fresh
+            )
+            handler = self._handler(configuration, backend)
+            await self._async_open_edge(configuration, handler)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
@@ -95,53 +106,67 @@
         await self._control.async_stop()
         await self._metrics.async_stop()
 
+    async def _async_wait_listed(self) -> Configuration:
+        """Wait until the configuration lists the backend server beside us."""
+        name, service = self._settings.process.name, self._settings.service
+        configuration = await self._coordinator.async_wait_first()
+        if not _is_listed(configuration, service, name):
+            _LOGGER.warning(
+                "Backend server %r is not listed under service %r; waiting until "
+                "it is published. Check name and service in the settings",
+                name,
+                service,
+            )
+        return await self._coordinator.async_wait_until(
+            lambda current: _is_listed(current, service, name)
+        )
+
     async def _async_open_edge(
-        self, configuration: Configuration, session: aiohttp.ClientSession
+        self, configuration: Configuration, handler: RequestHandler
     ) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
         service = configuration.service(self._settings.service)
         server = _own_server(service, process.name)
-        if service is None or server is None:
-            raise SystemExit(
-                f"backend server {process.name!r} is not listed under service "
-                f"{self._settings.service!r}; publish it or mend the settings"
-            )
         zone = configuration.zone(process.zone)
+        assert service is not None
+        assert server is not None
         assert zone is not None
-        packet_socket = PacketSocket(
-            service.number,
-            server.connections,
-            Encapsulation(process.fleet_key),
-            self._draining,
-            lambda: self._coordinator.version,
-            self._recorder,
-            self._metrics.meter("edge"),
-        )
         token = RoutingToken(
             zone.number, process.packets, service.number, self._incarnation & 0xFFFF
         )
-        self._edge = QuicEdge(
-            quic_configuration(
-                str(self._settings.certificate), str(self._settings.private_key)
-            ),
-            TokenMint(process.token_keys, token),
-            self._handler(server, session),
-            packet_socket.return_to_caller,
-            lambda: self._roster.packed_balancers,
-            self._clock,
-            self._recorder,
-        )
-        packet_socket.attach(self._edge)
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: packet_socket, local_addr=process.packets.socket_address
+        self._edge = await async_open_edge(
+            EdgeContext(
+                process=process,
+                token=token,
+                certificate=str(self._settings.certificate),
+                private_key=str(self._settings.private_key),
+                handler=handler,
+                admission=ConnectionLimit(server.connections),
+                draining=self._draining,
+                roster=self._roster,
+                own_version=lambda: self._coordinator.version,
+                versions=VersionWatch(
+                    lambda: self._coordinator.version, self._newer_version_seen
+                ),
+                clock=self._clock,
+                recorder=self._recorder,
+                meter=self._metrics.meter("edge"),
+            )
         )
 
+    def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
+        """Ask for a version which this process has missed."""
+        _LOGGER.info("Version %d is in force at %s", version, sender)
+        self._spread.hear_of(version, sender)
+
     def _handler(
-        self, server: BackendServer, session: aiohttp.ClientSession
+        self, configuration: Configuration, backend: BackendClient
     ) -> RequestHandler:
         """Return the steps that each request passes."""
-        backend = BackendClient(self._settings.backend_server, session, self._clock)
+        service = configuration.service(self._settings.service)
+        server = _own_server(service, self._settings.process.name)
+        assert server is not None
         gate = AdmissionGate(server.slots, backend)
         return Dispatcher(
             self._settings.service,
@@ -165,6 +190,11 @@
         return {"flows": float(flows)}
 
 
+def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
+    """Tell whether a service lists a backend server of that name."""
+    return _own_server(configuration.service(service), name) is not None
+
+
 def _own_server(service: Service | None, name: str) -> BackendServer | None:
     """Return the backend server of that name in a service."""
     if service is None:
--- a/packages/pomelotrail-core/pomelotrail_core/settings/process_settings.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/process_settings.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.logs import JSON_LOGS, TEXT_LOGS
 from pomelotrail_core.routing.const import (
     FLEET_KEY_BYTES,
     MAX_KEY_GENERATION,
@@ -42,6 +43,7 @@
     vol.Optional("log_level", default="info"): vol.In(
         ["debug", "info", "warning", "error"]
     ),
+    vol.Optional("log_format", default=TEXT_LOGS): vol.In([TEXT_LOGS, JSON_LOGS]),
 }
 
 
@@ -65,6 +67,7 @@
     log_level: str
     peers: tuple[Endpoint, ...] = ()
     tls: TlsFiles | None = None
+    log_format: str = TEXT_LOGS
 
 
 def read_settings(
@@ -93,4 +96,5 @@
         log_level=document["log_level"],
         peers=tuple(document["peers"]),
         tls=build_tls_files(document.get("tls")),
+        log_format=document["log_format"],
     )
