Control connections speak mutual TLS with the fleet's authority

Cause: anyone who reached a control address could ask, follow or feed a process.

Settings may name an authority, a certificate and a key; then every control connection, both ways, needs a certificate of that authority (TLS 1.3). Names are not compared: addresses change with the VMs and the authority signs nothing else. Operators' commands take the files from the directory in POMELOTRAIL_TLS. UDP between processes keeps its keyed MAC. Ruled out: contexts handed through every slice (each caller of open_channel in four slices would carry it); one installed context for the process, as for logs, changes no caller.

With verify_mode CERT_NONE test_forged_trust and test_stranger_with_another_authority failed.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -1,6 +1,7 @@
 """Starts a whole fleet on loopback: stand-ins, balancers and companions."""
 
 import asyncio
+import os
 import secrets
 import socket
 import sys
@@ -12,11 +13,14 @@
 import attrs
 import yaml
 
-from harness.certificates import write_certificate
+from harness.certificates import write_certificate, write_fleet_certificates
 from harness.process import BINARIES, FleetProcess
 from harness.specification import FleetSpecification
+from pomelotrail_core.command_line.const import TLS_DIRECTORY_VARIABLE
 from pomelotrail_core.configuration.const import VERSION_HEADER
 from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.peers import install_security, load_security
+from pomelotrail_core.settings.tls_files import TlsFiles
 
 _LOOPBACK = "127.0.0.1"
 
@@ -81,6 +85,7 @@
         self._fleet_key = secrets.token_hex(32)
         self._token_key = secrets.token_hex(16)
         self._certificate, self._private_key = write_certificate(directory)
+        self._tls_files = self._join_fleet(directory / "tls")
         self.configuration_service = self._ports.reserve()
         self.fabric_control = self._ports.reserve()
         self.vm_list = self._ports.reserve()
@@ -153,6 +158,13 @@
         command = [sys.executable, "-m", f"stand_ins.{module}", str(path)]
         self._add(name, command)
 
+    def _join_fleet(self, directory: Path) -> TlsFiles:
+        """Make the fleet's certificates, for this process and its commands too."""
+        files = write_fleet_certificates(directory)
+        install_security(load_security(files).unwrap())
+        os.environ[TLS_DIRECTORY_VARIABLE] = str(directory)
+        return files
+
     def _plan_companions(self) -> list[CompanionPlace]:
         """Spread the backend servers of every service over the zones."""
         zones = self.specification.zones
@@ -301,6 +313,9 @@
             "configuration_service": f"http://{service}/v1/configuration",
             "fleet_key": self._fleet_key,
             "token_keys": [{"generation": 0, "key": self._token_key}],
+            "tls": {
+                key: str(path) for key, path in attrs.asdict(self._tls_files).items()
+            },
         }
 
     def _write_settings(self, name: str, settings: dict[str, Any]) -> Path:
--- a/packages/pomelotrail-core/pomelotrail_core/command_line/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/const.py
@@ -7,6 +7,8 @@
 EXIT_USAGE: Final = 2
 EXIT_PARTIAL: Final = 3
 
+TLS_DIRECTORY_VARIABLE: Final = "POMELOTRAIL_TLS"
+
 EXIT_CODES_HELP: Final = """\
 exit codes:
   0  done
--- a/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
@@ -5,8 +5,10 @@
 import sys
 from collections.abc import Sequence
 
+from pomelotrail_core.peers import set_up_operator_security
+
 from .command import Command
-from .const import EXIT_CODES_HELP, EXIT_OK
+from .const import EXIT_CODES_HELP, EXIT_OK, EXIT_USAGE, TLS_DIRECTORY_VARIABLE
 
 
 def run_command_line(
@@ -26,6 +28,10 @@
     for command in commands:
         command.register(chosen)
     parsed = parser.parse_args(arguments)
+    directory = os.environ.get(TLS_DIRECTORY_VARIABLE, "")
+    if problem := set_up_operator_security(directory):
+        print(problem, file=sys.stderr)
+        return EXIT_USAGE
     try:
         code = parsed.run(parsed)
         sys.stdout.flush()
--- a/packages/pomelotrail-core/pomelotrail_core/peers/server.py
+++ b/packages/pomelotrail-core/pomelotrail_core/peers/server.py
@@ -7,6 +7,8 @@
 
 from pomelotrail_core.endpoint import Endpoint
 
+from .security import installed_security
+
 
 class ControlServer:
     """Serves the grpclib services of every slice at one control address."""
@@ -18,7 +20,9 @@
 
     async def async_start(self) -> None:
         """Start to listen."""
-        await self._server.start(self._endpoint.host, self._endpoint.port)
+        await self._server.start(
+            self._endpoint.host, self._endpoint.port, ssl=installed_security().server
+        )
 
     async def async_stop(self) -> None:
         """Stop listening and wait until calls have ended."""
--- a/packages/pomelotrail-core/pomelotrail_core/settings/tls_files.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/tls_files.py
@@ -28,3 +28,10 @@
     if entry is None:
         return None
     return TlsFiles(**{key: Path(value) for key, value in entry.items()})
+
+
+def tls_files_in(directory: Path) -> TlsFiles:
+    """Return the files in a directory, by their usual names."""
+    return TlsFiles(
+        directory / "authority.pem", directory / "peer.pem", directory / "peer-key.pem"
+    )
