--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from pomelotrail_core.clock import Clock, SystemClock
-from pomelotrail_core.configuration import ConfigurationCoordinator, ServiceSource
+from pomelotrail_core.configuration import ConfigurationCoordinator
 from pomelotrail_core.datagrams import DatagramSocket
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
@@ -18,10 +18,11 @@
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
 from pomelotrail_core.routing.version_watch import VersionWatch
+from pomelotrail_core.spread import PeerCheck, ProcessSpread
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
-from pomelotrail_core.waking import ServiceCheck, WakeGuard
+from pomelotrail_core.waking import WakeGuard
 
 from .forwarding import Forwarder, PacketCounter, ServiceSocket
 from .orders import ZoneEvents
@@ -62,10 +63,14 @@
             VersionWatch(lambda: self._coordinator.version, self._newer_version_seen),
             self._metrics.meter("returns"),
         )
+        self._spread = ProcessSpread(
+            process, self._coordinator, self._roster, clock, self._recorder
+        )
         self._waiting: set[asyncio.Task[None]] = set()
         self._control = ControlServer(
             process.control,
             [
+                *self._spread.handlers,
                 TimelineService(self._recorder),
                 StatusService(
                     process.name,
@@ -88,10 +93,9 @@
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
         async with aiohttp.ClientSession() as session:
-            source = ServiceSource(process.configuration_service, session)
-            following = asyncio.create_task(self._coordinator.async_follow(source))
-            await self._coordinator.async_wait_first()
-            check = ServiceCheck(source, self._coordinator, self._clock)
+            following = self._spread.start(session)
+            await self._spread.async_wait_ready()
+            check = PeerCheck(self._spread, self._clock)
             guard = WakeGuard(self._clock, check, self._recorder)
             ticking = asyncio.create_task(guard.async_tick())
             await self._async_listen(guard)
@@ -106,8 +110,9 @@
         await self._metrics.async_stop()
 
     def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
-        """Note that a peer has a version which this process has missed."""
+        """Ask for a version which this process has missed."""
         _LOGGER.info("Version %d is in force at %s", version, sender)
+        self._spread.hear_of(version, sender)
 
     async def _async_listen(self, guard: WakeGuard) -> None:
         """Open the sockets for packets."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -13,7 +13,6 @@
     Configuration,
     ConfigurationCoordinator,
     Service,
-    ServiceSource,
 )
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
@@ -24,11 +23,12 @@
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
+from pomelotrail_core.spread import PeerCheck, ProcessSpread
 from pomelotrail_core.tickets import Executor, TicketMint, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
-from pomelotrail_core.waking import ServiceCheck, WakeGuard
+from pomelotrail_core.waking import WakeGuard
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .backend import BackendClient, open_backend_session
@@ -80,9 +80,13 @@
         self._relay = RelayService(settings.service, self._sealer, clock)
         self._peers = GrpcPeers(settings.service, clock)
         self._once: Once | None = None
+        self._spread = ProcessSpread(
+            process, self._coordinator, self._roster, clock, self._recorder
+        )
         self._control = ControlServer(
             process.control,
             [
+                *self._spread.handlers,
                 TimelineService(self._recorder),
                 StatusService(
                     process.name,
@@ -109,14 +113,14 @@
             open_backend_session(is_reusing_connections=True) as kept,
             open_backend_session(is_reusing_connections=False) as fresh,
         ):
-            source = ServiceSource(process.configuration_service, session)
-            following = asyncio.create_task(self._coordinator.async_follow(source))
+            following = self._spread.start(session)
+            await self._spread.async_wait_ready()
             configuration = await self._async_wait_listed()
             backend = BackendClient(
                 self._settings.backend_server, kept, self._clock, fresh
             )
             handler = self._handler(configuration, backend)
-            check = ServiceCheck(source, self._coordinator, self._clock)
+            check = PeerCheck(self._spread, self._clock)
             guard = WakeGuard(self._clock, check, self._recorder)
             ticking = asyncio.create_task(guard.async_tick())
             self._open_edge(configuration, handler, guard)
@@ -182,8 +186,9 @@
         )
 
     def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
-        """Note that a peer has a version which this process has missed."""
+        """Ask for a version which this process has missed."""
         _LOGGER.info("Version %d is in force at %s", version, sender)
+        self._spread.hear_of(version, sender)
 
     def _handler(
         self, configuration: Configuration, backend: BackendClient
