--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -1,6 +1,8 @@
 """Starts a whole fleet on loopback: stand-ins, balancers and companions."""
 
 import asyncio
+import os
+import random
 import secrets
 import socket
 import sys
@@ -12,13 +14,18 @@
 import attrs
 import yaml
 
-from harness.certificates import write_certificate
+from harness.certificates import write_certificate, write_fleet_certificates
 from harness.process import BINARIES, FleetProcess
 from harness.specification import FleetSpecification
+from pomelotrail_core.command_line.const import TLS_DIRECTORY_VARIABLE
 from pomelotrail_core.configuration.const import VERSION_HEADER
 from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.peers import install_security, load_security
+from pomelotrail_core.settings.tls_files import TlsFiles
 
 _LOOPBACK = "127.0.0.1"
+# Below the ports that the kernel gives to sockets which ask for any.
+_RESERVED_PORTS = range(15_000, 32_000)
 
 
 class PortReserver:
@@ -31,21 +38,26 @@
     def reserve(self) -> Endpoint:
         """Return an address that is free for TCP and UDP."""
         while True:
-            with (
-                socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
-            ):
-                stream.bind((_LOOPBACK, 0))
-                port = stream.getsockname()[1]
-                try:
-                    datagram.bind((_LOOPBACK, port))
-                except OSError:
-                    continue
-            if port not in self._taken:
+            port = random.SystemRandom().choice(_RESERVED_PORTS)
+            if port not in self._taken and _is_free(port):
                 self._taken.add(port)
                 return Endpoint(_LOOPBACK, port)
 
 
+def _is_free(port: int) -> bool:
+    """Tell whether nobody uses a port of loopback for TCP or UDP."""
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
+    ):
+        try:
+            stream.bind((_LOOPBACK, port))
+            datagram.bind((_LOOPBACK, port))
+        except OSError:
+            return False
+    return True
+
+
 @attrs.define
 class CompanionPlace:
     """Where one backend server and its companion live."""
@@ -56,6 +68,7 @@
     backend_server: Endpoint
     packets: Endpoint
     control: Endpoint
+    metrics: Endpoint
 
 
 @attrs.define
@@ -66,6 +79,7 @@
     zone: str
     packets: Endpoint
     control: Endpoint
+    metrics: Endpoint
     listen: dict[str, Endpoint]
 
 
@@ -81,6 +95,7 @@
         self._fleet_key = secrets.token_hex(32)
         self._token_key = secrets.token_hex(16)
         self._certificate, self._private_key = write_certificate(directory)
+        self._tls_files = self._join_fleet(directory / "tls")
         self.configuration_service = self._ports.reserve()
         self.fabric_control = self._ports.reserve()
         self.vm_list = self._ports.reserve()
@@ -96,15 +111,27 @@
         """Return the control addresses of all balancers and companions."""
         return [place.control for place in [*self.balancers, *self.companions]]
 
+    @property
+    def program_names(self) -> list[str]:
+        """Return the names of all companions and balancers."""
+        return [place.name for place in [*self.companions, *self.balancers]]
+
     async def async_start(self) -> None:
         """Start every process: stand-ins first, then the real programs."""
-        await self._async_start_stand_ins()
+        await self.async_start_platform()
         await self.async_publish()
-        names = [place.name for place in [*self.companions, *self.balancers]]
-        for place in self.companions:
-            self._add_companion(place)
-        for place in self.balancers:
-            self._add_balancer(place)
+        await self.async_start_programs(self.program_names)
+
+    async def async_start_platform(self) -> None:
+        """Start the stand-ins; nothing is published yet."""
+        await self._async_start_stand_ins()
+        for companion in self.companions:
+            self._add_companion(companion)
+        for balancer in self.balancers:
+            self._add_balancer(balancer)
+
+    async def async_start_programs(self, names: Sequence[str]) -> None:
+        """Start these balancers and companions and wait until all serve."""
         await asyncio.gather(*(self.processes[name].async_start() for name in names))
 
     async def async_stop(self) -> None:
@@ -141,6 +168,13 @@
         command = [sys.executable, "-m", f"stand_ins.{module}", str(path)]
         self._add(name, command)
 
+    def _join_fleet(self, directory: Path) -> TlsFiles:
+        """Make the fleet's certificates, for this process and its commands too."""
+        files = write_fleet_certificates(directory)
+        install_security(load_security(files).unwrap())
+        os.environ[TLS_DIRECTORY_VARIABLE] = str(directory)
+        return files
+
     def _plan_companions(self) -> list[CompanionPlace]:
         """Spread the backend servers of every service over the zones."""
         zones = self.specification.zones
@@ -152,6 +186,7 @@
                 backend_server=self._ports.reserve(),
                 packets=self._ports.reserve(),
                 control=self._ports.reserve(),
+                metrics=self._ports.reserve(),
             )
             for service in self.specification.services
             for number in range(service.endpoints)
@@ -166,6 +201,7 @@
                 zone=zones[number % len(zones)],
                 packets=self._ports.reserve(),
                 control=self._ports.reserve(),
+                metrics=self._ports.reserve(),
                 listen={name: self._ports.reserve() for name in self.service_addresses},
             )
             for number in range(self.specification.balancers)
@@ -286,9 +322,13 @@
             "zone": place.zone,
             "packets": str(place.packets),
             "control": str(place.control),
+            "metrics": str(place.metrics),
             "configuration_service": f"http://{service}/v1/configuration",
             "fleet_key": self._fleet_key,
             "token_keys": [{"generation": 0, "key": self._token_key}],
+            "tls": {
+                key: str(path) for key, path in attrs.asdict(self._tls_files).items()
+            },
         }
 
     def _write_settings(self, name: str, settings: dict[str, Any]) -> Path:
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/dispatcher.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/dispatcher.py
@@ -4,15 +4,24 @@
 
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.configuration import ConfigurationCoordinator, RequestClass
-from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline import Recorder
 
+from .accounting import RequestAccounting
+from .body_limit import async_limited, is_declared_too_large
+from .errors import BodyTooLarge
 from .handler import RequestHandler
+from .journal import RequestJournal
 from .messages import Answer, Request
-from .refusals import Outcome, Refusal, RefusalKind, refuse
+from .proof import prove_by_contact
+from .refusals import Outcome, Refusal, RefusalKind, confirm, refuse
 
 
 class Dispatcher(RequestHandler):
-    """Hands requests of known classes to the next step."""
+    """Hands requests of known classes to the next step.
+
+    It is the last to see each answer before the caller, so every refusal is
+    confirmed here.
+    """
 
     def __init__(
         self,
@@ -21,39 +30,49 @@
         clock: Clock,
         recorder: Recorder,
         next_handler: RequestHandler,
+        accounting: RequestAccounting | None = None,
     ) -> None:
         """Dispatch for one service."""
         self._service = service
         self._coordinator = coordinator
         self._clock = clock
-        self._recorder = recorder
         self._next = next_handler
+        self._journal = RequestJournal(clock, recorder, accounting)
 
     async def async_handle(self, request: Request) -> Answer:
         """Answer a request, recording its start and its end."""
         request_class = self._request_class(request)
+        entry = self._journal.begin(request, request_class)
+        try:
+            answer = await self._async_answer(request, request_class)
+        except BaseException:
+            self._journal.abandon(entry)
+            raise
+        return self._journal.finish(entry, answer)
+
+    async def _async_answer(
+        self, request: Request, request_class: RequestClass | None
+    ) -> Answer:
+        """Hand a request of a known class on, and confirm what comes back."""
         if request_class is None:
             return refuse(Refusal(RefusalKind.UNKNOWN_CLASS, Outcome.NOT_RUN))
-        started = self._recorder.record(
-            EventKind.REQUEST_STARTED,
-            flow=request.flow,
-            request=request.identifier,
-            detail=request_class.name,
-        )
+        limit = request_class.body_limit
+        if is_declared_too_large(request, limit):
+            return refuse(Refusal(RefusalKind.BODY_TOO_LARGE, Outcome.NOT_RUN))
+        latest = self._clock.monotonic() + request_class.deadline
         known = attrs.evolve(
             request,
             request_class=request_class,
-            deadline=self._clock.monotonic() + request_class.deadline,
-        )
-        answer = await self._next.async_handle(known)
-        self._recorder.record(
-            EventKind.REQUEST_ANSWERED,
-            flow=request.flow,
-            request=request.identifier,
-            cause=started,
-            detail=f"status {answer.status}",
+            deadline=min(request.deadline or latest, latest),
+            body=async_limited(request.body, limit),
         )
-        return answer
+        try:
+            answer = await self._next.async_handle(known)
+        except BodyTooLarge:
+            proof = prove_by_contact(request.contact)
+            outcome = Outcome.UNKNOWN if proof is None else Outcome.NOT_RUN
+            answer = refuse(Refusal(RefusalKind.BODY_TOO_LARGE, outcome))
+        return confirm(answer, request.contact)
 
     def _request_class(self, request: Request) -> RequestClass | None:
         """Return the class of a request by the configuration in force."""
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
@@ -0,0 +1,49 @@
+"""Runs the command that the arguments name."""
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+
+from pomelotrail_core.peers import set_up_operator_security
+
+from .command import Command
+from .const import EXIT_CODES_HELP, EXIT_OK, EXIT_USAGE, TLS_DIRECTORY_VARIABLE
+
+
+def run_command_line(
+    program: str,
+    description: str,
+    commands: Sequence[Command],
+    arguments: Sequence[str] | None = None,
+) -> int:
+    """Parse the arguments, run their command and return its exit code."""
+    parsed = command_parser(program, description, commands).parse_args(arguments)
+    directory = os.environ.get(TLS_DIRECTORY_VARIABLE, "")
+    if problem := set_up_operator_security(directory):
+        print(problem, file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        code = parsed.run(parsed)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Whoever read the output, such as head, has seen enough.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_OK
+    return code
+
+
+def command_parser(
+    program: str, description: str, commands: Sequence[Command]
+) -> argparse.ArgumentParser:
+    """Return the parser of a program's command line."""
+    parser = argparse.ArgumentParser(
+        prog=program,
+        description=description,
+        epilog=EXIT_CODES_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    chosen = parser.add_subparsers(required=True, metavar="COMMAND")
+    for command in commands:
+        command.register(chosen)
+    return parser
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import OrderedDict
 from collections.abc import Callable
 
 from result import Err, Ok
@@ -10,9 +11,9 @@
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.timeline import EventKind, Recorder
 
-from .const import SERVICE_RETRY_MAX, SERVICE_RETRY_MIN
+from .const import REFUSED_KEPT, SERVICE_RETRY_MAX, SERVICE_RETRY_MIN
 from .document import Configuration
-from .parser import parse_configuration
+from .parser import ConfigurationParser
 from .source import ConfigurationSource, Document
 
 _LOGGER = get_logger("configuration")
@@ -27,13 +28,21 @@
     is in force never reverts, whatever a source serves.
     """
 
-    def __init__(self, clock: Clock, recorder: Recorder, rng: random.Random) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        recorder: Recorder,
+        rng: random.Random,
+        parser: ConfigurationParser | None = None,
+    ) -> None:
         """Start with no configuration in force."""
+        self._parser = parser or ConfigurationParser()
         self._clock = clock
         self._recorder = recorder
         self._rng = rng
         self._current: Configuration | None = None
-        self._text = ""
+        self._document: Document | None = None
+        self._refused: OrderedDict[bytes, int] = OrderedDict()
         self._listeners: list[Listener] = []
         self._first = asyncio.Event()
 
@@ -45,15 +54,17 @@
     @property
     def document(self) -> Document | None:
         """Return the document in force as it was published."""
-        if self._current is None:
-            return None
-        return Document(self._current.version, self._text)
+        return self._document
 
     @property
     def version(self) -> int:
         """Return the version in force; 0 before the first."""
         return self._current.version if self._current else 0
 
+    def has_refused(self, digest: bytes) -> bool:
+        """Tell whether a document with this digest was refused lately."""
+        return digest in self._refused
+
     def add_listener(self, listener: Listener) -> None:
         """Call ``listener`` with each version, the one in force included."""
         self._listeners.append(listener)
@@ -66,26 +77,47 @@
         assert self._current is not None
         return self._current
 
+    async def async_wait_until(
+        self, holds: Callable[[Configuration], bool]
+    ) -> Configuration:
+        """Wait until the configuration in force fulfils a condition."""
+        changed = asyncio.Event()
+        self.add_listener(lambda _: changed.set())
+        while True:
+            if self._current is not None and holds(self._current):
+                return self._current
+            changed.clear()
+            await changed.wait()
+
     def offer(self, document: Document, source: str) -> bool:
         """Check a document and adopt it if its version is higher."""
-        if document.version <= self.version:
+        if document.version <= self.version or document.digest in self._refused:
             return False
-        match parse_configuration(document.text, source):
+        match self._parser.parse(document.text, source):
             case Err(error):
                 _LOGGER.warning("%s", error)
                 self._recorder.record(
                     EventKind.CONFIGURATION_REFUSED, detail=str(error)
                 )
+                self._refuse(document)
                 return False
             case Ok(configuration):
-                return self._adopt(configuration, document.text, source)
+                return self._adopt(configuration, document, source)
+
+    def _refuse(self, document: Document) -> None:
+        """Remember a broken document, so that it is not parsed again."""
+        self._refused[document.digest] = document.version
+        while len(self._refused) > REFUSED_KEPT:
+            self._refused.popitem(last=False)
 
-    def _adopt(self, configuration: Configuration, text: str, source: str) -> bool:
+    def _adopt(
+        self, configuration: Configuration, document: Document, source: str
+    ) -> bool:
         """Put a checked configuration in force."""
         if configuration.version <= self.version:
             return False
         self._current = configuration
-        self._text = text
+        self._document = document
         self._recorder.record(
             EventKind.CONFIGURATION_IN_FORCE,
             detail=f"version {configuration.version} from {source}",
--- a/packages/pomelotrail-core/pomelotrail_core/routing/encapsulation.py
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/encapsulation.py
@@ -1,13 +1,13 @@
 """Packets between balancers and companions.
 
 A balancer wraps a caller's packet as a ``ForwardedPacket``; a companion wraps
-its answers as a ``ReturnedPacket``. Both end with a MAC over everything before
-it, keyed with the fleet key, so a process takes packets of its own fleet only.
+its answers as a ``ReturnedPacket``. Both end with a nonce and an AES-GMAC tag
+over everything before them, keyed with the fleet key, so a process takes
+packets of its own fleet only.
 """
 
-import hashlib
-import hmac
 import struct
+from socket import inet_ntoa
 from typing import Final
 
 import attrs
@@ -15,7 +15,7 @@
 
 from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES
 
-from .const import MAC_BYTES
+from .authenticator import TRAILER_BYTES, Authenticator
 from .errors import EncapsulationError
 
 _FORWARDED: Final = 0x51
@@ -23,7 +23,10 @@
 _FORWARDED_HEAD: Final = struct.Struct(
     f"!BQH{PACKED_ENDPOINT_BYTES}s{PACKED_ENDPOINT_BYTES}sBB"
 )
+_FORWARDED_PREFIX: Final = struct.Struct("!BQH")
 _RETURNED_HEAD: Final = struct.Struct(f"!BQH{PACKED_ENDPOINT_BYTES}s")
+_ANSWER_HEAD: Final = struct.Struct("!BQH4sH")
+_MIN_RETURNED_BYTES: Final = _RETURNED_HEAD.size + TRAILER_BYTES
 
 
 @attrs.frozen
@@ -54,12 +57,30 @@
     payload: bytes
 
 
+@attrs.define
+class CallerAnswer:
+    """A returned packet with the caller's address as the socket takes it.
+
+    It is not frozen, since a balancer makes one for each answer, and frozen
+    classes take three times as long to make.
+    """
+
+    version: int
+    service_number: int
+    caller: tuple[str, int]
+    payload: bytes
+
+
 class Encapsulation:
     """Encodes and decodes packets with one fleet key."""
 
     def __init__(self, fleet_key: bytes) -> None:
         """Authenticate with ``fleet_key``."""
-        self._keyed = hashlib.blake2b(key=fleet_key, digest_size=MAC_BYTES)
+        self._authenticator = Authenticator(fleet_key)
+
+    def sealer(self, service_number: int, balancer: bytes) -> "ForwardedSealer":
+        """Return what seals the packets of one service at one balancer."""
+        return ForwardedSealer(self._authenticator, service_number, balancer)
 
     def encode_forwarded(self, packet: ForwardedPacket) -> bytes:
         """Return the datagram for a companion."""
@@ -72,72 +93,107 @@
             packet.hops,
             len(packet.candidates),
         )
-        return self._seal(head + b"".join(packet.candidates) + packet.payload)
+        return self._authenticator.seal(
+            b"".join((head, *packet.candidates, packet.payload))
+        )
 
     def decode_forwarded(
         self, datagram: bytes
     ) -> Result[ForwardedPacket, EncapsulationError]:
         """Check and open a datagram of a balancer or another companion."""
-        match self._open(datagram, _FORWARDED, _FORWARDED_HEAD.size):
-            case Err(error):
-                return Err(error)
-            case Ok(body):
-                return _parse_forwarded(body)
+        error = self._check(datagram, _FORWARDED, _FORWARDED_HEAD.size)
+        return Err(error) if error else _parse_forwarded(datagram)
 
     def encode_returned(self, packet: ReturnedPacket) -> bytes:
         """Return the datagram for a balancer."""
         head = _RETURNED_HEAD.pack(
             _RETURNED, packet.version, packet.service_number, packet.caller
         )
-        return self._seal(head + packet.payload)
+        return self._authenticator.seal(head + packet.payload)
 
     def decode_returned(
         self, datagram: bytes
     ) -> Result[ReturnedPacket, EncapsulationError]:
         """Check and open a datagram of a companion."""
-        match self._open(datagram, _RETURNED, _RETURNED_HEAD.size):
-            case Err(error):
-                return Err(error)
-            case Ok(body):
-                _, version, service, caller = _RETURNED_HEAD.unpack_from(body)
-                payload = body[_RETURNED_HEAD.size :]
-                return Ok(ReturnedPacket(version, service, caller, payload))
-
-    def _seal(self, body: bytes) -> bytes:
-        """Append the MAC."""
-        mac = self._keyed.copy()
-        mac.update(body)
-        return body + mac.digest()
-
-    def _open(
+        error = self._check(datagram, _RETURNED, _RETURNED_HEAD.size)
+        if error:
+            return Err(error)
+        _, version, service, caller = _RETURNED_HEAD.unpack_from(datagram)
+        payload = datagram[_RETURNED_HEAD.size : -TRAILER_BYTES]
+        return Ok(ReturnedPacket(version, service, caller, payload))
+
+    def open_answer(self, datagram: bytes) -> "CallerAnswer | None":
+        """Return what a balancer sends to a caller, or None.
+
+        This is the way of nearly every answer; ``decode_returned`` tells what
+        is wrong with the others.
+        """
+        if len(datagram) < _MIN_RETURNED_BYTES or datagram[0] != _RETURNED:
+            return None
+        if not self._authenticator.accepts(datagram):
+            return None
+        _, version, service, host, port = _ANSWER_HEAD.unpack_from(datagram)
+        payload = datagram[_ANSWER_HEAD.size : -TRAILER_BYTES]
+        return CallerAnswer(version, service, (inet_ntoa(host), port), payload)
+
+    def _check(
         self, datagram: bytes, kind: int, head_bytes: int
-    ) -> Result[bytes, EncapsulationError]:
-        """Check length, kind and MAC, and return what stands before the MAC."""
-        if len(datagram) < head_bytes + MAC_BYTES:
-            return Err(EncapsulationError.TRUNCATED)
+    ) -> EncapsulationError | None:
+        """Check length, kind and MAC."""
+        if len(datagram) < head_bytes + TRAILER_BYTES:
+            return EncapsulationError.TRUNCATED
         if datagram[0] != kind:
-            return Err(EncapsulationError.FORMAT)
-        body = datagram[:-MAC_BYTES]
-        mac = self._keyed.copy()
-        mac.update(body)
-        if not hmac.compare_digest(mac.digest(), datagram[-MAC_BYTES:]):
-            return Err(EncapsulationError.MAC)
-        return Ok(body)
+            return EncapsulationError.FORMAT
+        if not self._authenticator.accepts(datagram):
+            return EncapsulationError.MAC
+        return None
 
 
-def _parse_forwarded(body: bytes) -> Result[ForwardedPacket, EncapsulationError]:
+class ForwardedSealer:
+    """Seals the packets of one service at one balancer.
+
+    All of them share most of the head, which is packed once for each
+    configuration version. The datagrams are those of ``encode_forwarded``.
+    """
+
+    def __init__(
+        self, authenticator: Authenticator, service_number: int, balancer: bytes
+    ) -> None:
+        """Seal for one service; answers go to ``balancer``."""
+        self._seal = authenticator.seal
+        self._service_number = service_number
+        self._balancer = balancer
+        self._suffix = balancer + bytes(2)
+        self.set_version(0)
+
+    def set_version(self, version: int) -> None:
+        """Seal with another configuration version from now on."""
+        self._prefix = _FORWARDED_PREFIX.pack(_FORWARDED, version, self._service_number)
+
+    def seal(
+        self, caller: bytes, candidates: tuple[bytes, ...], payload: bytes
+    ) -> bytes:
+        """Return the datagram of a packet on its first hop."""
+        if not candidates:
+            return self._seal(b"".join((self._prefix, caller, self._suffix, payload)))
+        hops_and_count = bytes((0, len(candidates)))
+        head = (self._prefix, caller, self._balancer, hops_and_count)
+        return self._seal(b"".join((*head, *candidates, payload)))
+
+
+def _parse_forwarded(datagram: bytes) -> Result[ForwardedPacket, EncapsulationError]:
     """Read the fields of an authenticated forwarded packet."""
-    head = _FORWARDED_HEAD.unpack_from(body)
+    head = _FORWARDED_HEAD.unpack_from(datagram)
     _, version, service, caller, balancer, hops, count = head
     start = _FORWARDED_HEAD.size
     end = start + count * PACKED_ENDPOINT_BYTES
-    if end > len(body):
+    if end > len(datagram) - TRAILER_BYTES:
         return Err(EncapsulationError.TRUNCATED)
     candidates = tuple(
-        body[at : at + PACKED_ENDPOINT_BYTES]
+        datagram[at : at + PACKED_ENDPOINT_BYTES]
         for at in range(start, end, PACKED_ENDPOINT_BYTES)
     )
-    payload = body[end:]
+    payload = datagram[end:-TRAILER_BYTES]
     return Ok(
         ForwardedPacket(version, service, caller, balancer, hops, candidates, payload)
     )
