--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -28,7 +28,7 @@
 from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
 
-from .admission import AdmissionGate
+from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
 from .edge import ConnectionLimit, QuicEdge
@@ -65,6 +65,7 @@
         )
         self._roster = Roster()
         self._edge: QuicEdge | None = None
+        self._scheduler: Scheduler | None = None
         observe_gauge(
             self._metrics.meter("edge"),
             Metric("flows", "{flow}", "Open flows"),
@@ -175,7 +176,11 @@
         service = configuration.service(self._settings.service)
         server = _own_server(service, self._settings.process.name)
         assert server is not None
-        gate = AdmissionGate(server.slots, backend)
+        limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
+        self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        gate = AdmissionGate(
+            self._scheduler, backend, self._clock, self._recorder, random.Random()
+        )
         return Dispatcher(
             self._settings.service,
             self._coordinator,
@@ -199,7 +204,12 @@
 
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
-        return {"flows": float(self._flow_count()), **self._accounting.figures}
+        admission = {} if self._scheduler is None else self._scheduler.figures()
+        return {
+            "flows": float(self._flow_count()),
+            **self._accounting.figures,
+            **admission,
+        }
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
