--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/story.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/story.py
@@ -142,7 +142,7 @@
             f"because of {plain(cause)}, which is not among these events (its process "
             "gave no answer, was not named, or has forgotten it)"
         )
-    if not reasons and entry.event.kind in _NEEDS_CAUSE:
+    if not entry.event.cause and entry.event.kind in _NEEDS_CAUSE:
         reasons.extend(_context(timeline, entry))
     return reasons
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/gate.py
@@ -18,7 +18,7 @@
 )
 from pomelotrail_companion.requests.refusals import OUTCOME_HEADER, RefusalKind
 from pomelotrail_core.clock import Clock
-from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline import Recorder
 
 from .class_state import ScheduledRequest
 from .const import MIN_RETRY_AFTER, RETRY_JITTER, SHED_FOR_DEADLINE, SHED_HEADER
@@ -114,13 +114,12 @@
 
     def _refuse(self, request: Request, kind: RefusalKind) -> Answer:
         """Refuse a request of which nothing has run."""
-        self._recorder.record(
-            EventKind.REQUEST_REFUSED,
-            flow=request.flow,
-            request=request.identifier,
-            detail=f"{kind.title}; limit {self._scheduler.limit.limit}",
+        limit = self._scheduler.limit
+        detail = (
+            f"{limit.limit} of {limit.slots} slots in use at most, "
+            f"{self._scheduler.waiting} waiting"
         )
-        return refuse(Refusal(kind, Outcome.NOT_RUN, self._retry_after()))
+        return refuse(Refusal(kind, Outcome.NOT_RUN, self._retry_after(), detail))
 
     def _retry_after(self) -> timedelta:
         """Return a wait that differs between callers."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/limit.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/limit.py
@@ -129,6 +129,10 @@
         self._slow_alone: dict[str, list[timedelta]] = {}
         self._alarm: SlowAnswer | None = None
         self._active_at = clock.monotonic()
+        recorder.record(
+            EventKind.BACKEND_SERVER_COLD,
+            detail=f"limit 1, {ColdEvidence.STARTED.value}",
+        )
 
     @property
     def limit(self) -> int:
@@ -223,10 +227,10 @@
             return
         self._completions = 0
         self._limit += 1
-        self._recorder.record(EventKind.LIMIT_CHANGED, detail=f"limit {self._limit}")
+        cold = self._recorder.latest(EventKind.BACKEND_SERVER_COLD)
+        detail = f"limit {self._limit}"
+        self._recorder.record(EventKind.LIMIT_CHANGED, cause=cold, detail=detail)
         if self._limit == self._slots:
             self._needed = 1
             self._weak_needed = 1
-            self._recorder.record(
-                EventKind.BACKEND_SERVER_WARM, detail=f"limit {self._limit}"
-            )
+            self._recorder.record(EventKind.BACKEND_SERVER_WARM, detail=detail)
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -29,6 +29,7 @@
 from pomelotrail_core.timeline.service import TimelineService
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
+from .admission.metrics import observe_admission
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
 from .edge import ConnectionLimit, QuicEdge
@@ -178,6 +179,7 @@
         assert server is not None
         limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
         self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        observe_admission(self._metrics.meter("admission"), self._scheduler)
         gate = AdmissionGate(
             self._scheduler, backend, self._clock, self._recorder, random.Random()
         )
