--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -13,7 +13,6 @@
     Configuration,
     ConfigurationCoordinator,
     Service,
-    ServiceSource,
 )
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
@@ -24,16 +23,22 @@
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
+from pomelotrail_core.spread import PeerCheck, ProcessSpread
+from pomelotrail_core.tickets import Executor, TicketMint, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
+from pomelotrail_core.waking import WakeGuard
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .admission.metrics import observe_admission
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.shutdown import GracefulShutdown
+from .draining.state import ServingState
 from .edge import ConnectionLimit, QuicEdge
-from .edge.assembly import EdgeContext, async_open_edge
+from .edge.assembly import EdgeContext, open_edge
+from .ledger import GrpcPeers, Once, RelayService, ServicePeers
 from .requests import Dispatcher, RequestHandler
 from .requests.accounting import RequestAccounting
 from .settings import CompanionSettings
@@ -72,9 +77,17 @@
             Metric("flows", "{flow}", "Open flows"),
             lambda: [Reading(self._flow_count())],
         )
+        self._sealer = TicketSealer(process.token_keys)
+        self._relay = RelayService(settings.service, self._sealer, clock)
+        self._peers = GrpcPeers(settings.service, clock)
+        self._once: Once | None = None
+        self._spread = ProcessSpread(
+            process, self._coordinator, self._roster, clock, self._recorder
+        )
         self._control = ControlServer(
             process.control,
             [
+                *self._spread.handlers,
                 TimelineService(self._recorder),
                 StatusService(
                     process.name,
@@ -83,6 +96,7 @@
                     lambda: self._coordinator.version,
                     self._figures,
                 ),
+                self._relay,
             ],
         )
 
@@ -100,20 +114,25 @@
             open_backend_session(is_reusing_connections=True) as kept,
             open_backend_session(is_reusing_connections=False) as fresh,
         ):
-            source = ServiceSource(process.configuration_service, session)
-            following = asyncio.create_task(self._coordinator.async_follow(source))
+            following = self._spread.start(session)
+            await self._spread.async_wait_ready()
             configuration = await self._async_wait_listed()
             backend = BackendClient(
                 self._settings.backend_server, kept, self._clock, fresh
             )
             handler = self._handler(configuration, backend)
-            await self._async_open_edge(configuration, handler)
+            check = PeerCheck(self._spread, self._clock)
+            guard = WakeGuard(self._clock, check, self._recorder)
+            ticking = asyncio.create_task(guard.async_tick())
+            self._open_edge(configuration, handler, guard)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
+            ticking.cancel()
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
+        self._peers.close()
         await self._control.async_stop()
         await self._metrics.async_stop()
 
@@ -132,8 +151,8 @@
             lambda current: _is_listed(current, service, name)
         )
 
-    async def _async_open_edge(
-        self, configuration: Configuration, handler: RequestHandler
+    def _open_edge(
+        self, configuration: Configuration, handler: RequestHandler, guard: WakeGuard
     ) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
@@ -146,7 +165,7 @@
         token = RoutingToken(
             zone.number, process.packets, service.number, self._incarnation & 0xFFFF
         )
-        self._edge = await async_open_edge(
+        self._edge = open_edge(
             EdgeContext(
                 process=process,
                 token=token,
@@ -155,6 +174,7 @@
                 handler=handler,
                 admission=ConnectionLimit(server.connections),
                 draining=self._draining,
+                hold=guard,
                 roster=self._roster,
                 own_version=lambda: self._coordinator.version,
                 versions=VersionWatch(
@@ -167,8 +187,9 @@
         )
 
     def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
-        """Note that a peer has a version which this process has missed."""
+        """Ask for a version which this process has missed."""
         _LOGGER.info("Version %d is in force at %s", version, sender)
+        self._spread.hear_of(version, sender)
 
     def _handler(
         self, configuration: Configuration, backend: BackendClient
@@ -176,6 +197,7 @@
         """Return the steps that each request passes."""
         service = configuration.service(self._settings.service)
         server = _own_server(service, self._settings.process.name)
+        assert service is not None
         assert server is not None
         limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
         self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
@@ -183,22 +205,44 @@
         gate = AdmissionGate(
             self._scheduler, backend, self._clock, self._recorder, random.Random()
         )
-        return Dispatcher(
-            self._settings.service,
+        control = self._settings.process.control
+        executor = Executor(control, self._incarnation, service.number)
+        mint = TicketMint(executor, self._sealer, self._clock)
+        self._once = Once.build(
+            mint,
+            self._sealer,
+            self._peers,
+            ServicePeers(service.name, control, self._coordinator, random.Random()),
+            lambda: self._draining.state is ServingState.LEAVING,
+            gate,
+            self._clock,
+            self._recorder,
+        )
+        dispatcher = Dispatcher(
+            service.name,
             self._coordinator,
             self._clock,
             self._recorder,
-            gate,
+            self._once.handler,
             self._accounting,
         )
+        self._relay.attach(dispatcher, self._once.resolver, mint)
+        return dispatcher
 
     async def _async_leave(self) -> None:
-        """Take no more work and close the flows."""
-        self._recorder.record(EventKind.PROCESS_STOPPING)
-        self._draining.stop()
-        if self._edge is not None:
-            self._edge.announce_leaving()
-            self._edge.close_all()
+        """Take no more work, and end when the running requests have."""
+        if self._edge is None:
+            return
+        shutdown = GracefulShutdown(
+            self._edge,
+            self._draining,
+            self._clock,
+            self._recorder,
+            self._settings.drain_limit,
+        )
+        await shutdown.async_run()
+        if self._once is not None:
+            await self._once.executions.async_settle()
 
     def _flow_count(self) -> int:
         """Return the number of open flows."""
@@ -207,8 +251,10 @@
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
         admission = {} if self._scheduler is None else self._scheduler.figures()
+        moved = 0 if self._edge is None else self._edge.moved_flow_count
         return {
             "flows": float(self._flow_count()),
+            "flows_moved": float(moved),
             **self._accounting.figures,
             **admission,
         }
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/__init__.py
@@ -0,0 +1,18 @@
+"""Spreads configuration and suspicion through trees of peer streams."""
+
+from .grpc_network import GrpcNetwork
+from .network import PeerNetwork
+from .peer_check import PeerCheck
+from .process_spread import ProcessSpread
+from .service import SpreadService
+from .spreader import Spreader, VersionComparison
+
+__all__ = [
+    "GrpcNetwork",
+    "PeerCheck",
+    "PeerNetwork",
+    "ProcessSpread",
+    "SpreadService",
+    "Spreader",
+    "VersionComparison",
+]
