Each refusal of a run with faults is traced to its cause

New test over real processes: a balancer is killed, a zone goes out, backend servers turn cold and shed, a burst comes; every refusal leads back to a cold backend server, and the story says so. It failed first on a request that timed out at a cold server with no cause recorded.

--- a/harness/tests/test_explaining.py
+++ b/harness/tests/test_explaining.py
@@ -14,12 +14,12 @@
 from pomelotrail_core.clock import SystemClock
 from pomelotrail_core.timeline import EventKind, Timeline, merge
 from pomelotrail_core.timeline.client import async_gather_events
-from stand_ins.caller import async_connect
+from stand_ins.caller import CallerAnswer, async_connect
 
 _REQUESTS = 100
 _WARMING = 12
 _REFUSED = 10
-_SLOW_SECONDS = 0.5
+_WORK_SECONDS = 0.2
 _SMALL = attrs.evolve(
     KESAR_TIDEWATER,
     balancers=3,
@@ -27,6 +27,13 @@
 )
 
 
+async def _async_refused(answer: CallerAnswer) -> None:
+    """Wait until a request has been refused."""
+    await answer.async_whole()
+    if answer.status < 400:
+        raise AssertionError(f"served with status {answer.status}")
+
+
 class ExplainingTest(unittest.IsolatedAsyncioTestCase):
     """A balancer dies, a zone goes out, and a backend server turns cold."""
 
@@ -48,14 +55,12 @@
         await self.fleet.async_publish()
         await self.async_wait_zone_out()
 
-    async def async_turn_cold(self) -> None:
-        """Turn every backend server cold; it sheds what it can't carry."""
+    async def async_order(self, path: str, **behaviour: object) -> None:
+        """Give an order to every backend server."""
         async with aiohttp.ClientSession() as session:
             for place in self.fleet.companions:
-                url = f"http://{place.backend_server}/admin/"
-                await session.post(url + "cold")
-                slow = {"work_seconds": _SLOW_SECONDS, "shed": True}
-                await session.post(url + "behaviour", json=slow)
+                url = f"http://{place.backend_server}/admin/{path}"
+                await session.post(url, json=behaviour)
 
     async def async_gather(self) -> Timeline:
         """Return the time line of the processes that answer."""
@@ -82,13 +87,15 @@
         """Each refusal names what set the limit, up to its first cause."""
         await self.async_break_things()
         address = self.fleet.service_addresses["stock-ledger"]
+        await self.async_order("behaviour", work_seconds=_WORK_SECONDS, shed=True)
         async with async_connect(address.host, address.port) as caller:
             for _ in range(_WARMING):
                 await caller.async_request("POST", "/uploads", b"x")
-            await self.async_turn_cold()
+            await self.async_order("cold")
             answers = [caller.open("POST", "/uploads", b"x") for _ in range(_REQUESTS)]
-            while sum(each.status >= 400 for each in answers) < _REFUSED:
-                await asyncio.sleep(0.05)
+            await asyncio.gather(
+                *(_async_refused(answer) for answer in answers[-_REFUSED:])
+            )
             timeline = await self.async_gather()
         self.check_stories(timeline)
 
@@ -102,8 +109,8 @@
         self.assertGreaterEqual(len(refused), _REFUSED)
         for entry in refused:
             causes = [cause.event.kind for cause in timeline.causes(entry)]
-            self.assertIn(EventKind.BACKEND_SERVER_COLD, causes)
             subject = Subject(entry.event.request, is_request=True)
             story = "\n".join(tell(timeline, subject))
+            self.assertIn(EventKind.BACKEND_SERVER_COLD, causes, story)
             self.assertIn("found its backend server cold", story)
             self.assertIn("End: request refused", story)
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/journal.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/journal.py
@@ -26,11 +26,16 @@
     EventKind.BACKEND_SERVER_WARM,
     EventKind.LIMIT_CHANGED,
 )
+_TEMPERATURES: Final = (
+    EventKind.BACKEND_SERVER_COLD,
+    EventKind.BACKEND_SERVER_WARM,
+)
 _ORDERS: Final = (EventKind.DRAINING, EventKind.ZONE_OUT)
 _CAUSES: Final = {
     RefusalKind.OVERLOADED: _LIMITS,
     RefusalKind.TOO_LATE: _LIMITS,
     RefusalKind.SHED: _LIMITS,
+    RefusalKind.BACKEND_FAILED: _TEMPERATURES,
     RefusalKind.LEAVING: _ORDERS,
     RefusalKind.UNKNOWN_CLASS: (EventKind.CONFIGURATION_IN_FORCE,),
     RefusalKind.EXECUTOR_UNREACHABLE: (EventKind.SUSPECTED,),
