A ticket that is offered is no refusal; hints for TLS; narrower status

Cause: in the kept demo every first request that must run once stood among the refusals and pulled the share within the target down; status lines of 300 characters wrapped; and without the certificate commands said only that a connection was lost. The test of the ticket's offer failed before on the event's kind.

--- a/harness/keep.py
+++ b/harness/keep.py
@@ -16,6 +16,7 @@
 from harness.fleet import Fleet
 from harness.process import ROOT
 from harness.specification import KESAR_TIDEWATER
+from pomelotrail_core.command_line.const import TLS_DIRECTORY_VARIABLE
 from pomelotrail_core.endpoint import Endpoint
 
 DIRECTORY: Final = ROOT / ".demo"
@@ -112,6 +113,7 @@
         _process_table(fleet),
         "",
         f"The configuration document is {document}. Try, from another shell:",
+        f"  export {TLS_DIRECTORY_VARIABLE}={DIRECTORY.name}/tls",
         f"  {program} status --document {document}",
         f"  {program} zone out veraval {document} --output {document}",
         f"  script/publish {document}",
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/const.py
@@ -5,6 +5,7 @@
 
 STATUS_TIMEOUT: Final = timedelta(seconds=3)
 ASKED_AT_ONCE: Final = 64
+CLASS_FIGURE_PREFIX: Final = "class."
 FORMAT_TEXT: Final = "text"
 FORMAT_TABLE: Final = "table"
 FORMAT_JSON: Final = "json"
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/status.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/status.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import os
 import sys
 from collections.abc import Sequence
 
@@ -11,11 +12,18 @@
 from result import Err, Ok, Result
 
 from pomelotrail_core.command_line import EXIT_FAILED, EXIT_OK, EXIT_PARTIAL, Command
+from pomelotrail_core.command_line.const import TLS_DIRECTORY_VARIABLE
 from pomelotrail_core.peers import PeerError, open_channel
 from pomelotrail_core.peers.status_grpc import StatusStub
 from pomelotrail_core.peers.status_pb2 import StatusReply, StatusRequest
 
-from .const import ASKED_AT_ONCE, FORMAT_JSON, FORMAT_TABLE, STATUS_TIMEOUT
+from .const import (
+    ASKED_AT_ONCE,
+    CLASS_FIGURE_PREFIX,
+    FORMAT_JSON,
+    FORMAT_TABLE,
+    STATUS_TIMEOUT,
+)
 from .targets import Target, add_target_arguments, read_targets
 
 _COLUMNS = ("PROCESS", "ZONE", "ROLE", "ADDRESS", "VERSION", "FIGURES")
@@ -73,8 +81,12 @@
 
     @property
     def row(self) -> tuple[str, ...]:
-        """Return the cells of the table."""
-        figures = [f"{name}={value:g}" for name, value in sorted(self._figures.items())]
+        """Return the cells of the table; figures of classes stand in JSON only."""
+        figures = [
+            f"{name}={value:g}"
+            for name, value in sorted(self._figures.items())
+            if not name.startswith(CLASS_FIGURE_PREFIX)
+        ]
         return (
             self.reply.process,
             self.reply.zone,
@@ -110,12 +122,22 @@
         return EXIT_OK
     answered = asked - len(silent)
     if not answered:
-        print("no process answered", file=sys.stderr)
+        print(f"no process answered{_tls_hint()}", file=sys.stderr)
         return EXIT_FAILED
     print(f"partial: {answered} of {asked} processes answered", file=sys.stderr)
     return EXIT_PARTIAL
 
 
+def _tls_hint() -> str:
+    """Return what may be missing when nobody answers."""
+    if os.environ.get(TLS_DIRECTORY_VARIABLE):
+        return ""
+    return (
+        f"; if the fleet's control connections use TLS, set {TLS_DIRECTORY_VARIABLE} "
+        "to the directory with your certificate"
+    )
+
+
 async def _async_ask_all(
     targets: Sequence[Target],
 ) -> list[Result[ProcessStatus, SilentProcess]]:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/builders.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/builders.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import io
+import os
 import threading
 from collections.abc import Iterator
 from datetime import datetime, timedelta
@@ -13,6 +14,7 @@
 from harness.fleet import PortReserver
 from pomelotrail_balancer.main import main
 from pomelotrail_core.clock import Clock, SystemClock
+from pomelotrail_core.command_line.const import TLS_DIRECTORY_VARIABLE
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
@@ -62,7 +64,9 @@
         contextlib.redirect_stdout(output),
         contextlib.redirect_stderr(errors),
         mock.patch("sys.stdin", io.StringIO(standard_input)),
+        mock.patch.dict(os.environ),
     ):
+        os.environ.pop(TLS_DIRECTORY_VARIABLE, None)
         try:
             main(arguments)
             code = 0
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/test_commands.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/test_commands.py
@@ -117,6 +117,7 @@
             outcome = run_command(command, gone)
             self.assertEqual(outcome.code, 1)
             self.assertIn("no process answered", outcome.errors)
+            self.assertIn("set POMELOTRAIL_TLS", outcome.errors)
 
     def test_document_names_the_processes(self) -> None:
         """A silent process of a document is shown with its name."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/journal.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/journal.py
@@ -20,6 +20,7 @@
 REFUSED: Final = "refused"
 BROKEN: Final = "broken"
 GIVEN_UP: Final = "given up"
+TICKET_OFFERED: Final = "ticket offered"
 
 _LIMITS: Final = (
     EventKind.BACKEND_SERVER_COLD,
@@ -87,7 +88,7 @@
     def finish(self, entry: RequestEntry, answer: Answer) -> Answer:
         """Record the answer; return it with a body that records its end."""
         if answer.refusal is not None:
-            self._refuse(entry, answer.refusal)
+            self._finish_refusal(entry, answer.refusal)
             return answer
         detail = f"status {answer.status}"
         self._record(entry, EventKind.REQUEST_ANSWERED, entry.identifier, detail)
@@ -96,11 +97,19 @@
             return answer
         return attrs.evolve(answer, body=self._async_follow(entry, answer.body))
 
-    def _refuse(self, entry: RequestEntry, refusal: Refusal) -> None:
-        """Record a refusal with its cause."""
+    def _finish_refusal(self, entry: RequestEntry, refusal: Refusal) -> None:
+        """Record a refusal with its cause.
+
+        Asking a caller for the ticket that the answer brings is a step of
+        every first request that must run once, and no refusal.
+        """
         status = f"status {refusal.kind.status}"
         words = [status, refusal.kind.slug, refusal.outcome.value, refusal.detail]
         detail = ", ".join(word for word in words if word)
+        if refusal.kind is RefusalKind.TICKET_REQUIRED:
+            self._record(entry, EventKind.REQUEST_ANSWERED, entry.identifier, detail)
+            self._count(entry, TICKET_OFFERED)
+            return
         cause = self._cause(refusal.kind) or entry.identifier
         self._record(entry, EventKind.REQUEST_REFUSED, cause, detail)
         if self._accounting is not None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/tests/test_journal.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/tests/test_journal.py
@@ -110,6 +110,12 @@
         drained = self.recorder.record(EventKind.DRAINING)
         self.assertEqual(self.refuse(RefusalKind.LEAVING).cause, drained)
 
+    def test_offer_of_a_ticket_is_no_refusal(self) -> None:
+        """The first answer to a request that must run once is no trouble."""
+        event = self.refuse(RefusalKind.TICKET_REQUIRED)
+        self.assertIs(event.kind, EventKind.REQUEST_ANSWERED)
+        self.assert_metric("requests_total", 'result="ticket offered"', 1)
+
     def test_request_of_no_class(self) -> None:
         """A request of no class is recorded too, and counted as such."""
         request = Request("f1-0", "f1", "PUT", "/x", (), async_pieces())
