--- a/harness/tests/test_documentation.py
+++ b/harness/tests/test_documentation.py
@@ -16,6 +16,7 @@
 _PAGES = ROOT / "docs" / "operators"
 _PROGRAM = re.compile(r"^ +(?:\.venv/bin/)?pomelotrail (.+)$", re.MULTILINE)
 _LINK = re.compile(r"\]\((?!https?:)([^)#]+)\)")
+_METRIC = re.compile(r"(?:Metric\(|PacketCounter\(\w+, |\.create_\w+\()\s*\"(\w+)\"")
 _TEST = re.compile(r"`(test_\w+)\.(\w+)\.(test_\w+)`")
 _STAND_FOR_ADDRESS = "192.0.2.7:7001"
 
@@ -50,6 +51,17 @@
         for reasons in (BalancerDropReason, CompanionDropReason):
             self.assertEqual({reason.value for reason in reasons} - rows, set())
 
+    def test_every_metric(self) -> None:
+        """Each metric that the code makes stands in metrics.md."""
+        page = (_PAGES / "metrics.md").read_text()
+        names: set[str] = set()
+        for path in (ROOT / "packages").rglob("*.py"):
+            if "tests" not in path.parts:
+                names |= set(_METRIC.findall(path.read_text()))
+        self.assertGreater(len(names), 10)
+        missing = {name for name in names if f"pomelotrail_{name}" not in page}
+        self.assertEqual(missing, set())
+
     def test_commands_can_be_parsed(self) -> None:
         """Each command line on a page is one that the program takes."""
         parser = command_parser("pomelotrail", "", COMMANDS)
