--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/limit.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/limit.py
@@ -136,6 +136,10 @@
         self._untypical: dict[str, list[timedelta]] = {}
         self._alarm: SlowAnswer | None = None
         self._active_at = clock.monotonic()
+        recorder.record(
+            EventKind.BACKEND_SERVER_COLD,
+            detail=f"limit 1, {ColdEvidence.STARTED.value}",
+        )
 
     @property
     def limit(self) -> int:
@@ -235,10 +239,10 @@
             return
         self._completions = 0
         self._limit += 1
-        self._recorder.record(EventKind.LIMIT_CHANGED, detail=f"limit {self._limit}")
+        cold = self._recorder.latest(EventKind.BACKEND_SERVER_COLD)
+        detail = f"limit {self._limit}"
+        self._recorder.record(EventKind.LIMIT_CHANGED, cause=cold, detail=detail)
         if self._limit == self._slots:
             self._needed = 1
             self._weak_needed = WEAK_GROWTH_COMPLETIONS
-            self._recorder.record(
-                EventKind.BACKEND_SERVER_WARM, detail=f"limit {self._limit}"
-            )
+            self._recorder.record(EventKind.BACKEND_SERVER_WARM, detail=detail)
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -31,6 +31,7 @@
 from pomelotrail_core.waking import WakeGuard
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
+from .admission.metrics import observe_admission
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
 from .draining.shutdown import GracefulShutdown
@@ -200,6 +201,7 @@
         assert server is not None
         limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
         self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        observe_admission(self._metrics.meter("admission"), self._scheduler)
         gate = AdmissionGate(
             self._scheduler, backend, self._clock, self._recorder, random.Random()
         )
