--- a/harness/fake_companions.py
+++ b/harness/fake_companions.py
@@ -9,7 +9,7 @@
 import enum
 import random
 from collections.abc import Awaitable, Callable, Iterable
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any, Final
 
 import attrs
@@ -149,6 +149,7 @@
         executor = Executor(self.endpoint, self.incarnation, SERVICE_NUMBER)
         self.mint = TicketMint(executor, network.sealer, network.clock)
         recorder = Recorder(str(self.endpoint), "veraval", network.clock)
+        clock = _PausedClock(self, network.clock)
         self.once = Once.build(
             self.mint,
             network.sealer,
@@ -156,12 +157,12 @@
             ServicePeers(SERVICE, self.endpoint, network.coordinator, network.rng),
             lambda: self.is_leaving,
             _Paused(self, network.backend_servers),
-            network.clock,
+            clock,
             recorder,
             network.limits,
         )
         self.handler: RequestHandler = Dispatcher(
-            SERVICE, network.coordinator, network.clock, recorder, self.once.handler
+            SERVICE, network.coordinator, clock, recorder, self.once.handler
         )
         self.is_alive = True
         self.is_leaving = False
@@ -274,6 +275,28 @@
         return attrs.evolve(answer, body=async_pieces(body))
 
 
+class _PausedClock(Clock):
+    """The clock of a process, whose timers stand still with it."""
+
+    def __init__(self, companion: FakeCompanion, clock: Clock) -> None:
+        """Follow ``clock``."""
+        self._companion = companion
+        self._clock = clock
+
+    def now(self) -> datetime:
+        """Return the time."""
+        return self._clock.now()
+
+    def monotonic(self) -> timedelta:
+        """Return the time since the start."""
+        return self._clock.monotonic()
+
+    async def async_sleep(self, delay: timedelta) -> None:
+        """Sleep, and wake up late from a pause."""
+        await self._clock.async_sleep(delay)
+        await self._companion.async_unpaused()
+
+
 class _Paused(RequestHandler):
     """Holds what a paused companion would send to its backend server."""
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/backend/client.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/backend/client.py
@@ -1,6 +1,5 @@
 """The HTTP/1.1 client towards the backend server."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from datetime import timedelta
 
@@ -19,6 +18,7 @@
 )
 from pomelotrail_companion.requests.proof import prove_by_contact
 from pomelotrail_companion.requests.refusals import RefusalKind
+from pomelotrail_companion.requests.time_limit import async_time_limit
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.endpoint import Endpoint
 
@@ -79,7 +79,7 @@
         """Send a request and return the answer as it arrives, checked."""
         body = _SentBody(request.body)
         try:
-            async with asyncio.timeout(self._seconds_left(request)):
+            async with async_time_limit(self._left(request), self._clock):
                 response = await self._async_send(request, body)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             if body.failure is not None:
@@ -129,7 +129,7 @@
         left = request.deadline - self._clock.monotonic()
         return max(0, round(left.total_seconds() * 1000))
 
-    def _seconds_left(self, request: Request) -> float | None:
+    def _left(self, request: Request) -> timedelta | None:
         """Return how long to wait for the head of the answer.
 
         A run-once request gets some more time, since to cut it off would
@@ -137,10 +137,10 @@
         """
         if request.deadline is None:
             return None
-        left = request.deadline - self._clock.monotonic()
+        left = max(_ZERO, request.deadline - self._clock.monotonic())
         if request.request_class is not None and request.request_class.run_once:
             left += RUN_ONCE_GRACE
-        return max(_ZERO, left).total_seconds()
+        return left
 
 
 def _problem(request: Request, response: aiohttp.ClientResponse) -> str | None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/ledger/executions.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/ledger/executions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from datetime import timedelta
 
 import attrs
 
@@ -15,6 +16,7 @@
 )
 from pomelotrail_companion.requests.proof import prove_by_contact
 from pomelotrail_companion.requests.refusals import RefusalKind
+from pomelotrail_companion.requests.time_limit import TimeLimit, async_time_limit
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.logs import get_logger
 
@@ -71,7 +73,7 @@
         """Run one request and record its outcome."""
         is_whole = False
         try:
-            async with asyncio.timeout(self._seconds_left(request)) as limit:
+            async with async_time_limit(self._left(request), self._clock) as limit:
                 answer = await self._next.async_handle(request)
                 if answer.refusal is not None:
                     self._refused(entry, request, answer.refusal)
@@ -88,7 +90,7 @@
             await handover.async_end(is_whole=is_whole)
 
     async def _async_keep(
-        self, entry: Entry, answer: Answer, handover: Handover, limit: asyncio.Timeout
+        self, entry: Entry, answer: Answer, handover: Handover, limit: TimeLimit
     ) -> None:
         """Read the whole answer, keep it if it is small, hand it over if not."""
         pieces: list[bytes] = []
@@ -101,7 +103,7 @@
                     continue
                 if handover.answer is None:
                     handover.open(answer.status, answer.headers)
-                    limit.reschedule(None)
+                    limit.lift()
                 await handover.async_put(pieces)
                 pieces.clear()
         is_kept = size <= MAX_ANSWER_BYTES
@@ -127,9 +129,9 @@
         unknown = attrs.evolve(refusal, outcome=Outcome.UNKNOWN, retry_after=None)
         self._ledger.finish(entry, attrs.evolve(kept, refusal=unknown))
 
-    def _seconds_left(self, request: Request) -> float | None:
+    def _left(self, request: Request) -> timedelta | None:
         """Return how long an answer may take before it is handed over."""
         if request.deadline is None:
             return None
-        left = request.deadline + EXECUTION_GRACE - self._clock.monotonic()
-        return max(0.0, left.total_seconds())
+        left = request.deadline - self._clock.monotonic()
+        return max(timedelta(), left) + EXECUTION_GRACE
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/tests/test_time_limit.py
@@ -0,0 +1,39 @@
+"""Tests of the bound on running time."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from harness.fake_clock import FakeClock, async_settle
+from pomelotrail_companion.requests.time_limit import async_time_limit
+
+
+class TimeLimitTest(unittest.IsolatedAsyncioTestCase):
+    """A limit counts running time only."""
+
+    async def asyncSetUp(self) -> None:
+        """Start work that waits for its answer for ten seconds."""
+        self.clock = FakeClock()
+        self.answer = asyncio.Event()
+        self.task = asyncio.create_task(self._async_work())
+        await async_settle()
+
+    async def _async_work(self) -> None:
+        """Wait for the answer."""
+        async with async_time_limit(timedelta(seconds=10), self.clock):
+            await self.answer.wait()
+
+    async def test_the_limit_expires(self) -> None:
+        """Work that takes too long is cut off."""
+        await self.clock.async_advance(timedelta(seconds=9))
+        self.assertFalse(self.task.done())
+        await self.clock.async_advance(timedelta(seconds=2))
+        with self.assertRaises(TimeoutError):
+            await self.task
+
+    async def test_a_pause_does_not_count(self) -> None:
+        """An answer that came during a pause is taken after it."""
+        self.clock.jump(timedelta(minutes=5))
+        await self.clock.async_advance(timedelta(seconds=1))
+        self.answer.set()
+        await self.task
