--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -7,7 +7,9 @@
 import aiohttp
 
 from pomelotrail_core.clock import Clock, SystemClock
-from pomelotrail_core.configuration import ConfigurationCoordinator, ServiceSource
+from pomelotrail_core.configuration import ConfigurationCoordinator
+from pomelotrail_core.datagrams import DatagramSocket
+from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.metrics import Metrics
@@ -15,10 +17,15 @@
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
+from pomelotrail_core.routing.version_watch import VersionWatch
+from pomelotrail_core.spread import PeerCheck, ProcessSpread
 from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
+from pomelotrail_core.waking import WakeGuard
 
-from .forwarding import Forwarder, ServiceSocket
+from .forwarding import Forwarder, PacketCounter, ServiceSocket
+from .orders import ZoneEvents
 from .returns import FleetSocket
 from .settings import BalancerSettings, ListenAddress
 
@@ -31,24 +38,39 @@
     def __init__(self, settings: BalancerSettings, clock: Clock) -> None:
         """Make the slices; nothing runs yet."""
         self._settings = settings
+        self._clock = clock
         process = settings.process
         self._recorder = Recorder(process.name, process.zone, clock)
         self._metrics = Metrics(process.name, process.zone)
         self._coordinator = ConfigurationCoordinator(
             clock, self._recorder, random.Random()
         )
+        observe_process(
+            self._metrics.meter("process"),
+            self._recorder,
+            lambda: self._coordinator.version,
+        )
         self._roster = Roster()
         self._encapsulation = Encapsulation(process.fleet_key)
         self._forwarder = Forwarder(
             TokenReader(process.token_keys), self._roster, RendezvousRanking()
         )
+        meter = self._metrics.meter("forwarding")
+        self._forwarded = PacketCounter(meter, "forwarded_packets", "service")
+        self._dropped = PacketCounter(meter, "dropped_packets")
         self._fleet_socket = FleetSocket(
-            self._encapsulation, self._metrics.meter("returns")
+            self._encapsulation,
+            VersionWatch(lambda: self._coordinator.version, self._newer_version_seen),
+            self._metrics.meter("returns"),
+        )
+        self._spread = ProcessSpread(
+            process, self._coordinator, self._roster, clock, self._recorder
         )
         self._waiting: set[asyncio.Task[None]] = set()
         self._control = ControlServer(
             process.control,
             [
+                *self._spread.handlers,
                 TimelineService(self._recorder),
                 StatusService(
                     process.name,
@@ -66,40 +88,51 @@
         self._recorder.record(EventKind.PROCESS_STARTED)
         self._coordinator.add_listener(self._roster.configure)
         self._coordinator.add_listener(self._forwarder.configure)
+        self._coordinator.add_listener(ZoneEvents(self._recorder).configure)
         await self._control.async_start()
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
         async with aiohttp.ClientSession() as session:
-            source = ServiceSource(process.configuration_service, session)
-            following = asyncio.create_task(self._coordinator.async_follow(source))
-            await self._coordinator.async_wait_first()
-            await self._async_listen()
+            following = self._spread.start(session)
+            await self._spread.async_wait_ready()
+            check = PeerCheck(self._spread, self._clock)
+            guard = WakeGuard(self._clock, check, self._recorder)
+            ticking = asyncio.create_task(guard.async_tick())
+            await self._async_listen(guard)
             announce_ready(process.name)
             await stop.wait()
             self._recorder.record(EventKind.PROCESS_STOPPING)
+            ticking.cancel()
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
         await self._control.async_stop()
         await self._metrics.async_stop()
 
-    async def _async_listen(self) -> None:
+    def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
+        """Ask for a version which this process has missed."""
+        _LOGGER.info("Version %d is in force at %s", version, sender)
+        self._spread.hear_of(version, sender)
+
+    async def _async_listen(self, guard: WakeGuard) -> None:
         """Open the sockets for packets."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self._fleet_socket,
-            local_addr=self._settings.process.packets.socket_address,
+        DatagramSocket(
+            self._fleet_socket,
+            self._settings.process.packets.socket_address,
+            guard,
         )
         in_force = await self._coordinator.async_wait_first()
         for listen in self._settings.listen:
             if in_force.service(listen.service) is not None:
-                await self._async_listen_for_service(listen)
+                await self._async_listen_for_service(listen, guard)
                 continue
-            task = asyncio.create_task(self._async_listen_later(listen))
+            task = asyncio.create_task(self._async_listen_later(listen, guard))
             self._waiting.add(task)
             task.add_done_callback(self._waiting.discard)
 
-    async def _async_listen_for_service(self, listen: ListenAddress) -> None:
+    async def _async_listen_for_service(
+        self, listen: ListenAddress, guard: WakeGuard
+    ) -> None:
         """Open the socket of one service once the service is published."""
         configuration = await self._coordinator.async_wait_until(
             lambda current: current.service(listen.service) is not None
@@ -111,16 +144,17 @@
             self._settings.process.packets,
             self._forwarder,
             self._encapsulation,
-            lambda: self._coordinator.version,
             self._fleet_socket.send,
-            self._metrics.meter("forwarding"),
-        )
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: socket, local_addr=listen.address.socket_address
+            self._forwarded,
+            self._dropped,
         )
+        self._coordinator.add_listener(socket.configure)
+        DatagramSocket(socket, listen.address.socket_address, guard)
         self._fleet_socket.add_service(service.number, socket)
 
-    async def _async_listen_later(self, listen: ListenAddress) -> None:
+    async def _async_listen_later(
+        self, listen: ListenAddress, guard: WakeGuard
+    ) -> None:
         """Wait for a service that is not in the configuration in force."""
         _LOGGER.warning(
             "Service %r is not in the configuration; listening at %s starts when "
@@ -128,7 +162,7 @@
             listen.service,
             listen.address,
         )
-        await self._async_listen_for_service(listen)
+        await self._async_listen_for_service(listen, guard)
 
 
 async def async_run_balancer(settings: BalancerSettings, stop: asyncio.Event) -> None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -13,27 +13,33 @@
     Configuration,
     ConfigurationCoordinator,
     Service,
-    ServiceSource,
 )
+from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
-from pomelotrail_core.metrics import Metrics
+from pomelotrail_core.metrics import Metric, Metrics, Reading, observe_gauge
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
-from pomelotrail_core.routing import Encapsulation, RoutingToken, TokenMint
+from pomelotrail_core.routing import RoutingToken
+from pomelotrail_core.routing.version_watch import VersionWatch
+from pomelotrail_core.spread import PeerCheck, ProcessSpread
 from pomelotrail_core.tickets import Executor, TicketMint, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
+from pomelotrail_core.waking import WakeGuard
 
-from .admission import AdmissionGate
+from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.shutdown import GracefulShutdown
 from .draining.state import ServingState
-from .edge import PacketSocket, QuicEdge
-from .edge.quic_edge import quic_configuration
+from .edge import ConnectionLimit, QuicEdge
+from .edge.assembly import EdgeContext, open_edge
 from .ledger import GrpcPeers, Once, RelayService, ServicePeers
 from .requests import Dispatcher, RequestHandler
+from .requests.accounting import RequestAccounting
 from .settings import CompanionSettings
 
 _LOGGER = get_logger("companion")
@@ -55,16 +61,32 @@
         self._coordinator = ConfigurationCoordinator(
             clock, self._recorder, random.Random()
         )
+        self._accounting = RequestAccounting(self._metrics.meter("requests"))
         self._draining = DrainingState(process.name, process.zone, self._recorder)
+        observe_process(
+            self._metrics.meter("process"),
+            self._recorder,
+            lambda: self._coordinator.version,
+        )
         self._roster = Roster()
         self._edge: QuicEdge | None = None
+        self._scheduler: Scheduler | None = None
+        observe_gauge(
+            self._metrics.meter("edge"),
+            Metric("flows", "{flow}", "Open flows"),
+            lambda: [Reading(self._flow_count())],
+        )
         self._sealer = TicketSealer(process.token_keys)
         self._relay = RelayService(settings.service, self._sealer, clock)
         self._peers = GrpcPeers(settings.service, clock)
         self._once: Once | None = None
+        self._spread = ProcessSpread(
+            process, self._coordinator, self._roster, clock, self._recorder
+        )
         self._control = ControlServer(
             process.control,
             [
+                *self._spread.handlers,
                 TimelineService(self._recorder),
                 StatusService(
                     process.name,
@@ -91,17 +113,21 @@
             open_backend_session(is_reusing_connections=True) as kept,
             open_backend_session(is_reusing_connections=False) as fresh,
         ):
-            source = ServiceSource(process.configuration_service, session)
-            following = asyncio.create_task(self._coordinator.async_follow(source))
+            following = self._spread.start(session)
+            await self._spread.async_wait_ready()
             configuration = await self._async_wait_listed()
             backend = BackendClient(
                 self._settings.backend_server, kept, self._clock, fresh
             )
             handler = self._handler(configuration, backend)
-            await self._async_open_edge(configuration, handler)
+            check = PeerCheck(self._spread, self._clock)
+            guard = WakeGuard(self._clock, check, self._recorder)
+            ticking = asyncio.create_task(guard.async_tick())
+            self._open_edge(configuration, handler, guard)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
+            ticking.cancel()
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
@@ -124,8 +150,8 @@
             lambda current: _is_listed(current, service, name)
         )
 
-    async def _async_open_edge(
-        self, configuration: Configuration, handler: RequestHandler
+    def _open_edge(
+        self, configuration: Configuration, handler: RequestHandler, guard: WakeGuard
     ) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
@@ -135,34 +161,35 @@
         assert service is not None
         assert server is not None
         assert zone is not None
-        packet_socket = PacketSocket(
-            service.number,
-            server.connections,
-            Encapsulation(process.fleet_key),
-            self._draining,
-            lambda: self._coordinator.version,
-            self._recorder,
-            self._metrics.meter("edge"),
-        )
         token = RoutingToken(
             zone.number, process.packets, service.number, self._incarnation & 0xFFFF
         )
-        self._edge = QuicEdge(
-            quic_configuration(
-                str(self._settings.certificate), str(self._settings.private_key)
-            ),
-            TokenMint(process.token_keys, token),
-            handler,
-            packet_socket.return_to_caller,
-            lambda: self._roster.packed_balancers,
-            self._clock,
-            self._recorder,
-        )
-        packet_socket.attach(self._edge)
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: packet_socket, local_addr=process.packets.socket_address
+        self._edge = open_edge(
+            EdgeContext(
+                process=process,
+                token=token,
+                certificate=str(self._settings.certificate),
+                private_key=str(self._settings.private_key),
+                handler=handler,
+                admission=ConnectionLimit(server.connections),
+                draining=self._draining,
+                hold=guard,
+                roster=self._roster,
+                own_version=lambda: self._coordinator.version,
+                versions=VersionWatch(
+                    lambda: self._coordinator.version, self._newer_version_seen
+                ),
+                clock=self._clock,
+                recorder=self._recorder,
+                meter=self._metrics.meter("edge"),
+            )
         )
 
+    def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
+        """Ask for a version which this process has missed."""
+        _LOGGER.info("Version %d is in force at %s", version, sender)
+        self._spread.hear_of(version, sender)
+
     def _handler(
         self, configuration: Configuration, backend: BackendClient
     ) -> RequestHandler:
@@ -171,7 +198,11 @@
         server = _own_server(service, self._settings.process.name)
         assert service is not None
         assert server is not None
-        gate = AdmissionGate(server.slots, backend)
+        limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
+        self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        gate = AdmissionGate(
+            self._scheduler, backend, self._clock, self._recorder, random.Random()
+        )
         control = self._settings.process.control
         executor = Executor(control, self._incarnation, service.number)
         mint = TicketMint(executor, self._sealer, self._clock)
@@ -191,25 +222,40 @@
             self._clock,
             self._recorder,
             self._once.handler,
+            self._accounting,
         )
         self._relay.attach(dispatcher, self._once.resolver, mint)
         return dispatcher
 
     async def _async_leave(self) -> None:
-        """Take no more work and close the flows."""
-        self._draining.stop()
-        self._recorder.record(EventKind.PROCESS_STOPPING)
-        if self._edge is not None:
-            self._edge.announce_leaving()
+        """Take no more work, and end when the running requests have."""
+        if self._edge is None:
+            return
+        shutdown = GracefulShutdown(
+            self._edge,
+            self._draining,
+            self._clock,
+            self._recorder,
+            self._settings.drain_limit,
+        )
+        await shutdown.async_run()
         if self._once is not None:
             await self._once.executions.async_settle()
-        if self._edge is not None:
-            self._edge.close_all()
+
+    def _flow_count(self) -> int:
+        """Return the number of open flows."""
+        return self._edge.flow_count if self._edge is not None else 0
 
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
-        flows = self._edge.flow_count if self._edge is not None else 0
-        return {"flows": float(flows)}
+        admission = {} if self._scheduler is None else self._scheduler.figures()
+        moved = 0 if self._edge is None else self._edge.moved_flow_count
+        return {
+            "flows": float(self._flow_count()),
+            "flows_moved": float(moved),
+            **self._accounting.figures,
+            **admission,
+        }
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/document.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/document.py
@@ -23,7 +23,8 @@
     """A class of work with its target instead of weights.
 
     Of the requests of the class, ``share`` should be answered within
-    ``within``. ``run_once`` marks requests that must not run twice.
+    ``within``. ``run_once`` marks requests that must not run twice;
+    ``is_stream`` marks answers that stay open, whose target is their head.
     """
 
     name: str
@@ -34,6 +35,7 @@
     run_once: bool
     deadline: timedelta
     body_limit: int
+    is_stream: bool = False
 
     def matches(self, method: str, path: str) -> bool:
         """Tell whether a request belongs to the class."""
@@ -112,6 +114,18 @@
         """Return the service of that name, or None."""
         return self._services_by_name.get(name)
 
+    @cached_property
+    def _processes_by_packets(self) -> dict[Endpoint, Balancer | BackendServer]:
+        """Return every process by its address for packets."""
+        processes = {each.packets: each for each in self.balancers}
+        for service in self.services:
+            processes.update({each.packets: each for each in service.backend_servers})
+        return processes
+
+    def process_at(self, packets: Endpoint) -> Balancer | BackendServer | None:
+        """Return the process that takes packets at an address, or None."""
+        return self._processes_by_packets.get(packets)
+
     def zone(self, name: str) -> AvailabilityZone | None:
         """Return the availability zone of that name, or None."""
         return next((zone for zone in self.zones if zone.name == name), None)
