--- a/packages/pomelotrail-companion/pomelotrail_companion/ledger/grpc_peers.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/ledger/grpc_peers.py
@@ -6,13 +6,13 @@
 from typing import Any, Final
 
 from grpclib.client import Channel, Stream
-from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from result import Err, Ok, Result
 
 from pomelotrail_companion.requests import Answer, AnswerBroken, Request, RequestBroken
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.peers import open_channel
 
 from . import relay_pb2 as pb
 from .const import MAX_CHANNELS, REACH_TIMEOUT, RELAY_WINDOW_BYTES
@@ -89,11 +89,7 @@
         if channel is None:
             if len(self._channels) >= MAX_CHANNELS:
                 self._channels.pop(next(iter(self._channels))).close()
-            channel = Channel(
-                endpoint.host,
-                endpoint.port,
-                config=Configuration(http2_stream_window_size=RELAY_WINDOW_BYTES),
-            )
+            channel = open_channel(endpoint, window_bytes=RELAY_WINDOW_BYTES)
             self._channels[endpoint] = channel
         return channel
 
--- a/packages/pomelotrail-core/pomelotrail_core/peers/channel.py
+++ b/packages/pomelotrail-core/pomelotrail_core/peers/channel.py
@@ -1,12 +1,21 @@
 """Client side of control connections."""
 
 from grpclib.client import Channel
+from grpclib.config import Configuration
 
 from pomelotrail_core.endpoint import Endpoint
 
 from .security import installed_security
 
 
-def open_channel(endpoint: Endpoint) -> Channel:
-    """Return a channel to the control address of another process."""
-    return Channel(endpoint.host, endpoint.port, ssl=installed_security().client)
+def open_channel(endpoint: Endpoint, *, window_bytes: int | None = None) -> Channel:
+    """Return a channel to the control address of another process.
+
+    ``window_bytes`` bounds what one call may hold of an answer that its reader
+    has not taken yet; without it the library's default applies.
+    """
+    configuration = None
+    if window_bytes is not None:
+        configuration = Configuration(http2_stream_window_size=window_bytes)
+    security = installed_security().client
+    return Channel(endpoint.host, endpoint.port, ssl=security, config=configuration)
