--- a/harness/tests/test_run_once.py
+++ b/harness/tests/test_run_once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -11,6 +12,7 @@
 import attrs
 
 from harness.fleet import CompanionPlace, Fleet
+from harness.process import ROOT
 from harness.specification import KESAR_TIDEWATER
 from pomelotrail_core.routing import TokenKeys
 from pomelotrail_core.tickets import TicketSealer
@@ -136,3 +138,17 @@
         answer = await self._async_post(self.other, b"moult 3", fresh)
         self.assertEqual(answer.status, 200)
         self.assertEqual(await self._async_executions(), 1)
+
+    async def test_the_example_of_the_callers_page(self) -> None:
+        """The program on the page posts an entry once, by a stock client."""
+        page = (ROOT / "docs" / "operators" / "callers.md").read_text()
+        program = page.partition("```python\n")[2].partition("```")[0]
+        address = self.fleet.service_addresses["stock-ledger"]
+        arguments = [address.host, str(address.port), "moult 3"]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", program, *arguments, stdout=asyncio.subprocess.PIPE
+        )
+        output, _ = await process.communicate()
+        self.assertEqual(process.returncode, 0)
+        self.assertTrue(output.startswith(b"200 "), output)
+        self.assertEqual(await self._async_executions(), 1)
