Credit for uploads follows what has been read

Cause: aioquic grants credit for a stream as data arrives, so a caller could send a whole body ahead of a slow backend server into the companion's memory. Now a stream has one window of 256 KiB beyond what its reader has taken. Ruled out: bounding by body_limit alone (8 MiB for each of 128 streams of a flow); holding the library's own doubling back (credit already granted grows with the offset). First seen to fail without counting unread bytes (more than a window was taken).

--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/const.py
@@ -15,3 +15,5 @@
 PASS_ON_MEMORY: Final = timedelta(seconds=3)
 PASS_ON_ENTRIES: Final = 16_384
 HANDSHAKE_TIMEOUT: Final = timedelta(seconds=10)
+RECEIVE_WINDOW_BYTES: Final = 262_144
+MAX_STREAM_DATA_FRAME_BYTES: Final = 17
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
@@ -9,7 +9,6 @@
 from aioquic.h3.connection import ErrorCode, H3Connection
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic.connection import (
-    QuicConnection,
     stream_is_client_initiated,
     stream_is_unidirectional,
 )
@@ -33,6 +32,7 @@
 
 from .const import SEND_HIGH_WATER_BYTES, SEND_POLL
 from .goaway import EVERY_REQUEST, next_request_stream, send_goaway
+from .routable_connection import RoutableQuicConnection
 
 _LOGGER = get_logger("edge")
 
@@ -44,16 +44,22 @@
 
 
 class _Body:
-    """The body of one request, filled by the flow and read by its task."""
+    """The body of one request, filled by the flow and read by its task.
 
-    def __init__(self) -> None:
+    ``changed`` is called with the unread bytes whenever they change.
+    """
+
+    def __init__(self, changed: Callable[[int], None]) -> None:
         """Start with nothing received."""
         self._pieces: asyncio.Queue[bytes | None] = asyncio.Queue()
         self._is_broken = False
+        self._changed = changed
+        self._unread = 0
 
     def feed(self, piece: bytes) -> None:
         """Add a received piece."""
         if piece:
+            self._count(len(piece))
             self._pieces.put_nowait(piece)
 
     def feed_end(self) -> None:
@@ -68,17 +74,23 @@
     async def async_read(self) -> AsyncIterator[bytes]:
         """Yield the pieces until the end; a broken body raises ``CallerGone``."""
         while (piece := await self._pieces.get()) is not None:
+            self._count(-len(piece))
             yield piece
         if self._is_broken:
             raise CallerGone
 
+    def _count(self, change: int) -> None:
+        """Count unread bytes."""
+        self._unread += change
+        self._changed(self._unread)
+
 
 class Flow(QuicConnectionProtocol):
     """Serves the requests of one caller; each request has a task of its own."""
 
     def __init__(
         self,
-        quic: QuicConnection,
+        quic: RoutableQuicConnection,
         name: str,
         handler: RequestHandler,
         clock: Clock,
@@ -188,7 +200,7 @@
             self._reset(event.stream_id, ErrorCode.H3_REQUEST_REJECTED)
             return
         self._latest_stream_id = max(event.stream_id, self._latest_stream_id or 0)
-        body = _Body()
+        body = _Body(lambda unread: self._set_unread(event.stream_id, unread))
         request = _request(event, body, self._name)
         self._bodies[event.stream_id] = body
         task = asyncio.create_task(self._async_serve(event.stream_id, request))
@@ -226,6 +238,11 @@
         self._http.send_data(stream_id, b"", end_stream=True)
         self.transmit()
 
+    def _set_unread(self, stream_id: int, unread: int) -> None:
+        """Let the caller send no more than the handler reads."""
+        if self._quic.set_unread(stream_id, unread):
+            asyncio.get_running_loop().call_soon(self.transmit)
+
     async def _async_wait_writable(self, stream_id: int) -> None:
         """Wait while much of the answer has not been acknowledged yet."""
         while self._unsent_bytes(stream_id) > SEND_HIGH_WATER_BYTES:
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
@@ -20,7 +20,13 @@
 from pomelotrail_core.timeline import EventKind, Recorder
 
 from .caller_edge import CallerEdge, PacketVerdict
-from .const import ALPN_HTTP3, HANDSHAKE_TIMEOUT, IDLE_TIMEOUT, MIN_OPENING_BYTES
+from .const import (
+    ALPN_HTTP3,
+    HANDSHAKE_TIMEOUT,
+    IDLE_TIMEOUT,
+    MIN_OPENING_BYTES,
+    RECEIVE_WINDOW_BYTES,
+)
 from .ending import fell_silent, record_ending
 from .flow import Flow
 from .refusal import connection_refused
@@ -37,6 +43,7 @@
         alpn_protocols=list(ALPN_HTTP3),
         connection_id_length=TOKEN_BYTES,
         idle_timeout=IDLE_TIMEOUT.total_seconds(),
+        max_stream_data=RECEIVE_WINDOW_BYTES,
     )
     configuration.load_cert_chain(certificate, private_key)
     return configuration
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_routable_connection.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_routable_connection.py
@@ -10,6 +10,7 @@
 
 from harness.builders import routing_token, token_keys
 from harness.certificates import write_certificate
+from pomelotrail_companion.edge.const import RECEIVE_WINDOW_BYTES
 from pomelotrail_companion.edge.quic_edge import quic_configuration
 from pomelotrail_companion.edge.routable_connection import RoutableQuicConnection
 from pomelotrail_core.routing import TokenMint, TokenReader
@@ -74,3 +75,29 @@
             self.client.send_ping(number)
             self.exchange()
             self.assertEqual(self.owner_of_last_packet(), routing_token())
+
+    def test_a_slow_reader_bounds_what_the_caller_sends(self) -> None:
+        """No more than one window waits unread; reading lets the rest come."""
+        self.exchange()
+        body = bytes(4 * RECEIVE_WINDOW_BYTES)
+        self.client.send_stream_data(0, body, end_stream=True)
+        for _ in range(400):
+            self._exchange_slowly(is_reading=False)
+        self.assertLessEqual(self._received(), RECEIVE_WINDOW_BYTES)
+        for _ in range(400):
+            self._exchange_slowly(is_reading=True)
+        self.assertEqual(self._received(), len(body))
+
+    def _exchange_slowly(self, *, is_reading: bool) -> None:
+        """Carry packets both ways, telling the server what nobody has read."""
+        self.now += 0.01
+        for data, _ in self.client.datagrams_to_send(self.now):
+            self.server.receive_datagram(data, _CALLER, self.now)
+        self.server.set_unread(0, 0 if is_reading else self._received())
+        for data, _ in self.server.datagrams_to_send(self.now):
+            self.client.receive_datagram(data, _SERVICE, self.now)
+
+    def _received(self) -> int:
+        """Return how much of the first stream the server holds or has read."""
+        stream = self.server._streams.get(0)
+        return stream.receiver.highest_offset if stream is not None else 0
