--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/builders.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/builders.py
@@ -185,7 +185,9 @@
         self.draining = DrainingState(f"ledger-{number}", self.zone, self.recorder)
         self.draining.configure(configuration())
         self.pass_on = PassOn(self.clock, is_out)
-        self.token = routing_token(companion=Endpoint.unpack(companion(number)))
+        self.token = routing_token(
+            companion=Endpoint.unpack(companion(number)), zone_number=number % 3 + 1
+        )
         self.router = PacketRouter(
             self.token,
             TokenReader(token_keys()),
