--- a/harness/routing_bench.py
+++ b/harness/routing_bench.py
@@ -57,14 +57,14 @@
 
     def __init__(self) -> None:
         """Start with no configuration."""
-        self._roster = Roster()
+        self.roster = Roster()
         self._forwarder = Forwarder(
-            TokenReader(token_keys()), self._roster, RendezvousRanking()
+            TokenReader(token_keys()), self.roster, RendezvousRanking()
         )
 
     def configure(self, in_force: Configuration) -> None:
         """Put a version in force."""
-        self._roster.configure(in_force)
+        self.roster.configure(in_force)
         self._forwarder.configure(in_force)
 
     def forward(self, service_number: int, payload: bytes) -> ForwardedTo | None:
--- a/measurements/__main__.py
+++ b/measurements/__main__.py
@@ -10,7 +10,7 @@
 
 from measurements.interface import Measurement, MeasurementOptions
 
-_SUPPORT: Final = frozenset({"__main__", "interface", "tests"})
+_SUPPORT: Final = frozenset({"__main__", "callers", "interface", "tests"})
 
 
 def main() -> None:
--- /dev/null
+++ b/measurements/callers.py
@@ -0,0 +1,116 @@
+"""Callers that stay connected, move when asked to, and notice broken flows."""
+
+import asyncio
+import contextlib
+from typing import Final
+
+import attrs
+
+from pomelotrail_core.endpoint import Endpoint
+from stand_ins.caller import Caller, FlowLost, async_connect
+
+ANSWER_SECONDS: Final = 15.0
+OPEN_SECONDS: Final = 10.0
+THINK_SECONDS: Final = 0.3
+RETRY_SECONDS: Final = 0.5
+_NOT_IN_USE: Final = (404, 503)
+
+
+@attrs.define
+class CallerFigures:
+    """What callers saw; a flow that was left after GOAWAY has moved."""
+
+    flows: int = 0
+    broken: int = 0
+    moved: int = 0
+    openings_failed: int = 0
+    answered: int = 0
+    refused: int = 0
+
+
+class RoamingCaller:
+    """One caller with one flow at a time."""
+
+    def __init__(
+        self, address: Endpoint, figures: CallerFigures, path: str = "/readings"
+    ) -> None:
+        """Call the service at an address and note what happens."""
+        self._address = address
+        self._figures = figures
+        self._path = path
+        self._is_stopped = False
+
+    def stop(self) -> None:
+        """Close the flow after the request under way."""
+        self._is_stopped = True
+
+    async def async_run(self) -> None:
+        """Keep a flow open until stopped."""
+        flow: _OpenFlow | None = None
+        while not self._is_stopped:
+            if flow is None:
+                flow = await self._async_open()
+                continue
+            if flow.caller.asked_to_go.is_set():
+                flow = await self._async_move(flow)
+                continue
+            if not await self._async_ask(flow.caller):
+                self._figures.broken += 1
+                await flow.async_close()
+                flow = None
+                continue
+            await asyncio.sleep(THINK_SECONDS)
+        if flow is not None:
+            await flow.async_close()
+
+    async def _async_open(self) -> "_OpenFlow | None":
+        """Return a new flow, or None after a pause if there is none."""
+        stack = contextlib.AsyncExitStack()
+        try:
+            async with asyncio.timeout(OPEN_SECONDS):
+                caller = await stack.enter_async_context(
+                    async_connect(self._address.host, self._address.port)
+                )
+        except (ConnectionError, TimeoutError):
+            self._figures.openings_failed += 1
+            await asyncio.sleep(RETRY_SECONDS)
+            return None
+        self._figures.flows += 1
+        return _OpenFlow(caller, stack)
+
+    async def _async_move(self, old: "_OpenFlow") -> "_OpenFlow | None":
+        """Open the next flow before closing the old one, as GOAWAY asks."""
+        new = await self._async_open()
+        if new is None:
+            self._figures.broken += old.caller.is_terminated
+            return None if old.caller.is_terminated else old
+        self._figures.moved += 1
+        await old.async_close()
+        return new
+
+    async def _async_ask(self, caller: Caller) -> bool:
+        """Send a request; False when the flow has broken."""
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS):
+                answer = await caller.async_request("GET", self._path)
+        except (FlowLost, ConnectionError, TimeoutError):
+            return False
+        if answer.status in _NOT_IN_USE:
+            self._figures.refused += 1
+        else:
+            self._figures.answered += 1
+        return True
+
+
+@attrs.define
+class _OpenFlow:
+    """A flow and what closes it."""
+
+    caller: Caller
+    stack: contextlib.AsyncExitStack
+
+    async def async_close(self) -> None:
+        """Close the flow from the caller's side."""
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(OPEN_SECONDS):
+                await self.stack.aclose()
