--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -33,8 +33,8 @@
 from .draining import DrainingState
 from .draining.leaving import LeavingStep, NoRelay
 from .draining.shutdown import GracefulShutdown
-from .edge import ConnectionLimit, QuicEdge
-from .edge.assembly import EdgeContext, open_edge
+from .edge import ConnectionLimit
+from .edge.assembly import EdgeContext, OpenedEdge, open_edge
 from .requests import Dispatcher, RequestHandler
 from .settings import CompanionSettings
 
@@ -59,7 +59,7 @@
         )
         self._draining = DrainingState(process.name, process.zone, self._recorder)
         self._roster = Roster()
-        self._edge: QuicEdge | None = None
+        self._edge: OpenedEdge | None = None
         self._control = ControlServer(
             process.control,
             [
@@ -185,7 +185,7 @@
         if self._edge is None:
             return
         shutdown = GracefulShutdown(
-            self._edge,
+            self._edge.flows,
             self._draining,
             self._clock,
             self._recorder,
@@ -195,12 +195,7 @@
 
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
-        if self._edge is None:
-            return {"flows": 0.0}
-        return {
-            "flows": float(self._edge.flow_count),
-            "flows_moved": float(self._edge.moved_flow_count),
-        }
+        return self._edge.figures if self._edge is not None else {}
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
@@ -46,7 +46,24 @@
     meter: Meter
 
 
-def open_edge(context: EdgeContext) -> QuicEdge:
+@attrs.frozen
+class OpenedEdge:
+    """The edge of a companion with the socket that feeds it."""
+
+    flows: QuicEdge
+    packets: PacketSocket
+
+    @property
+    def figures(self) -> dict[str, float]:
+        """Return the figures for the status of the process."""
+        return {
+            "flows": float(self.flows.flow_count),
+            "flows_moved": float(self.flows.moved_flow_count),
+            "packets_received": float(self.packets.received),
+        }
+
+
+def open_edge(context: EdgeContext) -> OpenedEdge:
     """Open the packet socket of a companion and return its edge."""
     process = context.process
     events = EventThrottle(context.recorder, context.clock)
@@ -82,4 +99,4 @@
     packet_socket.attach(router)
     follow_orders(context.draining, edge)
     DatagramSocket(packet_socket, process.packets.socket_address, context.hold)
-    return edge
+    return OpenedEdge(edge, packet_socket)
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/packet_socket.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/packet_socket.py
@@ -33,8 +33,14 @@
         self._drops = drops
         self._router: PacketRouter | None = None
         self._transport: asyncio.DatagramTransport | None = None
+        self._received = 0
         self._passed_on = meter.create_counter("passed_on_packets")
 
+    @property
+    def received(self) -> int:
+        """Return the number of datagrams that have arrived."""
+        return self._received
+
     def attach(self, router: PacketRouter) -> None:
         """Give packets to this router."""
         self._router = router
@@ -45,6 +51,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Check a datagram and let the router decide about what it carries."""
+        self._received += 1
         match self._encapsulation.decode_forwarded(data):
             case Err(error):
                 self._drops.add(encapsulation_reason(error))
