--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/story.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/story.py
@@ -15,7 +15,11 @@
 MAX_CHOICES: Final = 10
 CONTEXT_EVENTS: Final = 3
 
-_ENDS: Final = (EventKind.REQUEST_ANSWERED, EventKind.REQUEST_REFUSED)
+_ENDS: Final = (
+    EventKind.REQUEST_ANSWERED,
+    EventKind.REQUEST_REFUSED,
+    EventKind.REQUEST_BROKEN,
+)
 _NEEDS_CAUSE: Final = (
     EventKind.REQUEST_REFUSED,
     EventKind.FLOW_REFUSED,
@@ -189,6 +193,8 @@
 
 def _flow_verdict(kinds: list[EventKind]) -> str:
     """Return how a flow ended."""
+    if EventKind.FLOW_BROKEN in kinds:
+        return "End: the flow broke"
     if EventKind.FLOW_CLOSED in kinds:
         return "End: the flow was closed"
     if EventKind.FLOW_OPENED in kinds:
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -13,29 +13,33 @@
     Configuration,
     ConfigurationCoordinator,
     Service,
-    ServiceSource,
 )
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
-from pomelotrail_core.metrics import Metrics
+from pomelotrail_core.metrics import Metric, Metrics, Reading, observe_gauge
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
+from pomelotrail_core.spread import PeerCheck, ProcessSpread
+from pomelotrail_core.tickets import Executor, TicketMint, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
-from pomelotrail_core.waking import ServiceCheck, WakeGuard
+from pomelotrail_core.waking import WakeGuard
 
-from .admission import AdmissionGate
+from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
-from .draining.leaving import LeavingStep, NoRelay
 from .draining.shutdown import GracefulShutdown
+from .draining.state import ServingState
 from .edge import ConnectionLimit
 from .edge.assembly import EdgeContext, OpenedEdge, open_edge
+from .ledger import GrpcPeers, Once, RelayService, ServicePeers
 from .requests import Dispatcher, RequestHandler
+from .requests.accounting import RequestAccounting
 from .settings import CompanionSettings
 
 _LOGGER = get_logger("companion")
@@ -57,12 +61,32 @@
         self._coordinator = ConfigurationCoordinator(
             clock, self._recorder, random.Random()
         )
+        self._accounting = RequestAccounting(self._metrics.meter("requests"))
         self._draining = DrainingState(process.name, process.zone, self._recorder)
+        observe_process(
+            self._metrics.meter("process"),
+            self._recorder,
+            lambda: self._coordinator.version,
+        )
         self._roster = Roster()
         self._edge: OpenedEdge | None = None
+        self._scheduler: Scheduler | None = None
+        observe_gauge(
+            self._metrics.meter("edge"),
+            Metric("flows", "{flow}", "Open flows"),
+            lambda: [Reading(self._flow_count())],
+        )
+        self._sealer = TicketSealer(process.token_keys)
+        self._relay = RelayService(settings.service, self._sealer, clock)
+        self._peers = GrpcPeers(settings.service, clock)
+        self._once: Once | None = None
+        self._spread = ProcessSpread(
+            process, self._coordinator, self._roster, clock, self._recorder
+        )
         self._control = ControlServer(
             process.control,
             [
+                *self._spread.handlers,
                 TimelineService(self._recorder),
                 StatusService(
                     process.name,
@@ -71,6 +95,7 @@
                     lambda: self._coordinator.version,
                     self._figures,
                 ),
+                self._relay,
             ],
         )
 
@@ -88,14 +113,14 @@
             open_backend_session(is_reusing_connections=True) as kept,
             open_backend_session(is_reusing_connections=False) as fresh,
         ):
-            source = ServiceSource(process.configuration_service, session)
-            following = asyncio.create_task(self._coordinator.async_follow(source))
+            following = self._spread.start(session)
+            await self._spread.async_wait_ready()
             configuration = await self._async_wait_listed()
             backend = BackendClient(
                 self._settings.backend_server, kept, self._clock, fresh
             )
             handler = self._handler(configuration, backend)
-            check = ServiceCheck(source, self._coordinator, self._clock)
+            check = PeerCheck(self._spread, self._clock)
             guard = WakeGuard(self._clock, check, self._recorder)
             ticking = asyncio.create_task(guard.async_tick())
             self._open_edge(configuration, handler, guard)
@@ -106,6 +131,7 @@
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
+        self._peers.close()
         await self._control.async_stop()
         await self._metrics.async_stop()
 
@@ -160,8 +186,9 @@
         )
 
     def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
-        """Note that a peer has a version which this process has missed."""
+        """Ask for a version which this process has missed."""
         _LOGGER.info("Version %d is in force at %s", version, sender)
+        self._spread.hear_of(version, sender)
 
     def _handler(
         self, configuration: Configuration, backend: BackendClient
@@ -169,16 +196,36 @@
         """Return the steps that each request passes."""
         service = configuration.service(self._settings.service)
         server = _own_server(service, self._settings.process.name)
+        assert service is not None
         assert server is not None
-        gate = AdmissionGate(server.slots, backend)
-        leaving = LeavingStep(self._draining, NoRelay(), self._recorder, gate)
-        return Dispatcher(
-            self._settings.service,
+        limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
+        self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        gate = AdmissionGate(
+            self._scheduler, backend, self._clock, self._recorder, random.Random()
+        )
+        control = self._settings.process.control
+        executor = Executor(control, self._incarnation, service.number)
+        mint = TicketMint(executor, self._sealer, self._clock)
+        self._once = Once.build(
+            mint,
+            self._sealer,
+            self._peers,
+            ServicePeers(service.name, control, self._coordinator, random.Random()),
+            lambda: self._draining.state is ServingState.LEAVING,
+            gate,
+            self._clock,
+            self._recorder,
+        )
+        dispatcher = Dispatcher(
+            service.name,
             self._coordinator,
             self._clock,
             self._recorder,
-            leaving,
+            self._once.handler,
+            self._accounting,
         )
+        self._relay.attach(dispatcher, self._once.resolver, mint)
+        return dispatcher
 
     async def _async_leave(self) -> None:
         """Take no more work, and end when the running requests have."""
@@ -192,10 +239,18 @@
             self._settings.drain_limit,
         )
         await shutdown.async_run()
+        if self._once is not None:
+            await self._once.executions.async_settle()
+
+    def _flow_count(self) -> int:
+        """Return the number of open flows."""
+        return self._edge.flows.flow_count if self._edge is not None else 0
 
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
-        return self._edge.figures if self._edge is not None else {}
+        admission = {} if self._scheduler is None else self._scheduler.figures()
+        edge = {} if self._edge is None else self._edge.figures
+        return {**edge, **self._accounting.figures, **admission}
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
@@ -21,7 +21,13 @@
     StreamReset,
 )
 
-from pomelotrail_companion.requests import Answer, Header, Request, RequestHandler
+from pomelotrail_companion.requests import (
+    Answer,
+    Header,
+    Request,
+    RequestBroken,
+    RequestHandler,
+)
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.logs import get_logger
 
@@ -33,7 +39,7 @@
 FlowChanged = Callable[["Flow"], None]
 
 
-class CallerGone(Exception):
+class CallerGone(RequestBroken):
     """The caller ended the stream or the flow before the request was whole."""
 
 
@@ -89,6 +95,7 @@
         self._http = H3Connection(quic)
         self._bodies: dict[int, _Body] = {}
         self._tasks: dict[int, asyncio.Task[None]] = {}
+        self._termination: ConnectionTerminated | None = None
         self._latest_stream_id: int | None = None
         self._is_announced = False
         self._first_refused = EVERY_REQUEST
@@ -98,6 +105,11 @@
         """Return the name of the flow for events."""
         return self._name
 
+    @property
+    def termination(self) -> ConnectionTerminated | None:
+        """Return how the connection ended, or None while it is open."""
+        return self._termination
+
     @property
     def running_requests(self) -> int:
         """Return the number of requests without a whole answer."""
@@ -146,6 +158,7 @@
     def quic_event_received(self, event: QuicEvent) -> None:
         """Handle one event of the connection."""
         if isinstance(event, ConnectionTerminated):
+            self._termination = event
             self._end()
             return
         if isinstance(event, HandshakeCompleted):
@@ -203,9 +216,9 @@
         headers += [
             (header.name.encode(), header.value.encode()) for header in answer.headers
         ]
-        self._http.send_headers(stream_id, headers)
-        self.transmit()
         async with contextlib.aclosing(answer.body) as body:
+            self._http.send_headers(stream_id, headers)
+            self.transmit()
             async for piece in body:
                 await self._async_wait_writable(stream_id)
                 self._http.send_data(stream_id, piece, end_stream=False)
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/quic_edge.py
@@ -21,6 +21,7 @@
 
 from .caller_edge import CallerEdge, PacketVerdict
 from .const import ALPN_HTTP3, HANDSHAKE_TIMEOUT, IDLE_TIMEOUT, MIN_OPENING_BYTES
+from .ending import fell_silent, record_ending
 from .flow import Flow
 from .refusal import connection_refused
 from .return_path import LiveBalancers, ReturnPath, SendToCaller
@@ -242,11 +243,11 @@
         """Forget a flow that has ended, and record it."""
         if flow not in self._connection_ids:
             return
-        is_moved = flow.is_announced and flow not in self._closing
+        is_closed_here = flow in self._closing or fell_silent(flow.termination)
+        is_moved = flow.is_announced and not is_closed_here
         self._forget(flow)
         self._moved += is_moved
-        detail = "moved" if is_moved else ""
-        self._recorder.record(EventKind.FLOW_CLOSED, flow=flow.name, detail=detail)
+        record_ending(self._recorder, flow.name, flow.termination, is_moved)
 
     def _forget(self, flow: Flow) -> None:
         """Drop all state of a flow."""
