--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -147,6 +147,12 @@
         async with aiohttp.ClientSession() as session:
             await session.put(url, data=yaml.safe_dump(self.document), headers=headers)
 
+    def set_zone_out(self, zone: str, is_out: bool) -> None:
+        """Take a zone out or back in the document; publish it afterwards."""
+        for each in self.document["zones"]:
+            if each["name"] == zone:
+                each["out"] = is_out
+
     async def async_set_members(self, names: Sequence[str]) -> None:
         """Make the fabric spray over these balancers only."""
         chosen = [place for place in self.balancers if place.name in names]
--- a/measurements/callers.py
+++ b/measurements/callers.py
@@ -11,6 +11,7 @@
 
 ANSWER_SECONDS: Final = 15.0
 OPEN_SECONDS: Final = 10.0
+TARGET_SECONDS: Final = 0.3
 THINK_SECONDS: Final = 0.3
 RETRY_SECONDS: Final = 0.5
 _NOT_IN_USE: Final = (404, 503)
@@ -18,13 +19,18 @@
 
 @attrs.define
 class CallerFigures:
-    """What callers saw; a flow that was left after GOAWAY has moved."""
+    """What callers saw; a flow that was left after GOAWAY has moved.
+
+    ``within`` counts answers within the target of the class.
+    """
 
     flows: int = 0
     broken: int = 0
     moved: int = 0
     openings_failed: int = 0
+    asked: int = 0
     answered: int = 0
+    within: int = 0
     refused: int = 0
 
 
@@ -32,11 +38,19 @@
     """One caller with one flow at a time."""
 
     def __init__(
-        self, address: Endpoint, figures: CallerFigures, path: str = "/readings"
+        self,
+        address: Endpoint,
+        figures: CallerFigures,
+        requests_per_flow: int | None = None,
+        path: str = "/readings",
     ) -> None:
-        """Call the service at an address and note what happens."""
+        """Call the service at an address and note what happens.
+
+        After ``requests_per_flow`` the caller opens a new flow by itself.
+        """
+        self._requests_per_flow = requests_per_flow
         self._address = address
-        self._figures = figures
+        self.figures = figures
         self._path = path
         self._is_stopped = False
 
@@ -55,10 +69,14 @@
                 flow = await self._async_move(flow)
                 continue
             if not await self._async_ask(flow.caller):
-                self._figures.broken += 1
+                self.figures.broken += 1
                 await flow.async_close()
                 flow = None
                 continue
+            flow.requests += 1
+            if flow.requests == self._requests_per_flow:
+                await flow.async_close()
+                flow = None
             await asyncio.sleep(THINK_SECONDS)
         if flow is not None:
             await flow.async_close()
@@ -72,33 +90,38 @@
                     async_connect(self._address.host, self._address.port)
                 )
         except (ConnectionError, TimeoutError):
-            self._figures.openings_failed += 1
+            self.figures.openings_failed += 1
             await asyncio.sleep(RETRY_SECONDS)
             return None
-        self._figures.flows += 1
+        self.figures.flows += 1
         return _OpenFlow(caller, stack)
 
     async def _async_move(self, old: "_OpenFlow") -> "_OpenFlow | None":
         """Open the next flow before closing the old one, as GOAWAY asks."""
         new = await self._async_open()
         if new is None:
-            self._figures.broken += old.caller.is_terminated
+            self.figures.broken += old.caller.is_terminated
             return None if old.caller.is_terminated else old
-        self._figures.moved += 1
+        self.figures.moved += 1
         await old.async_close()
         return new
 
     async def _async_ask(self, caller: Caller) -> bool:
         """Send a request; False when the flow has broken."""
+        figures = self.figures
+        began = asyncio.get_running_loop().time()
+        figures.asked += 1
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
                 answer = await caller.async_request("GET", self._path)
         except (FlowLost, ConnectionError, TimeoutError):
             return False
         if answer.status in _NOT_IN_USE:
-            self._figures.refused += 1
+            figures.refused += 1
         else:
-            self._figures.answered += 1
+            figures.answered += 1
+            elapsed = asyncio.get_running_loop().time() - began
+            figures.within += elapsed <= TARGET_SECONDS
         return True
 
 
@@ -108,6 +131,7 @@
 
     caller: Caller
     stack: contextlib.AsyncExitStack
+    requests: int = 0
 
     async def async_close(self) -> None:
         """Close the flow from the caller's side."""
