--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/limit.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/limit.py
@@ -22,6 +22,7 @@
     FAILED = "the backend server failed a request"
     SLOW = "an answer was slow for its class"
     IDLE = "the backend server has done nothing for long"
+    RETURNED = "the backend server is back in service"
 
 
 _WEAK = frozenset({ColdEvidence.SLOW, ColdEvidence.IDLE})
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -31,8 +31,10 @@
 from pomelotrail_core.waking import WakeGuard
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
+from .admission.limit import ColdEvidence
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.orders import call_on_return
 from .draining.shutdown import GracefulShutdown
 from .draining.state import ServingState
 from .edge import ConnectionLimit
@@ -199,7 +201,10 @@
         assert service is not None
         assert server is not None
         limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
-        self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        self._scheduler = scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        call_on_return(
+            self._draining, lambda: scheduler.take_evidence(ColdEvidence.RETURNED)
+        )
         gate = AdmissionGate(
             self._scheduler, backend, self._clock, self._recorder, random.Random()
         )
