Free the memory of a flow as soon as it has ended

Ruled out: collecting on purpose, a pause over millions of objects. Without the clearing the new test failed.

--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/const.py
@@ -15,3 +15,4 @@
 PASS_ON_MEMORY: Final = timedelta(seconds=3)
 PASS_ON_ENTRIES: Final = 16_384
 HANDSHAKE_TIMEOUT: Final = timedelta(seconds=10)
+RELEASE_DELAY: Final = timedelta(milliseconds=100)
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
@@ -31,7 +31,7 @@
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.logs import get_logger
 
-from .const import SEND_HIGH_WATER_BYTES, SEND_POLL
+from .const import RELEASE_DELAY, SEND_HIGH_WATER_BYTES, SEND_POLL
 from .goaway import EVERY_REQUEST, next_request_stream, send_goaway
 
 _LOGGER = get_logger("edge")
@@ -259,6 +259,24 @@
         for stream_id in list(self._tasks):
             self._cancel(stream_id)
         self._ended(self)
+        self._loop.call_later(RELEASE_DELAY.total_seconds(), self._release)
+
+    def _release(self) -> None:
+        """Let the memory of an ended flow go at once.
+
+        The connection refers to itself by its callbacks, so without this it
+        would stay until the garbage collector looks at the oldest objects.
+        """
+        if self._timer is not None:
+            self._timer.cancel()
+        self._connection_id_issued_handler = _ignore
+        self._connection_id_retired_handler = _ignore
+        vars(self._quic).clear()
+        vars(self._http).clear()
+
+
+def _ignore(connection_id: bytes) -> None:
+    """Do nothing about a connection ID of an ended flow."""
 
 
 def _request(event: HeadersReceived, body: _Body, flow: str) -> Request:
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_quic_edge.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_quic_edge.py
@@ -1,8 +1,11 @@
 """Tests of opening, refusing and forgetting QUIC flows."""
 
+import asyncio
+import gc
 import ssl
 import tempfile
 import unittest
+import weakref
 from datetime import timedelta
 from pathlib import Path
 
@@ -16,7 +19,7 @@
 from harness.fake_clock import FakeClock
 from pomelotrail_companion.edge import QuicEdge
 from pomelotrail_companion.edge.caller_edge import PacketVerdict
-from pomelotrail_companion.edge.const import HANDSHAKE_TIMEOUT
+from pomelotrail_companion.edge.const import HANDSHAKE_TIMEOUT, RELEASE_DELAY
 from pomelotrail_companion.edge.quic_edge import quic_configuration
 from pomelotrail_companion.requests import Answer, Request, RequestHandler
 from pomelotrail_core.routing import TokenMint
@@ -106,6 +109,17 @@
         kinds = [event.kind for event in self.recorder.events]
         self.assertEqual(kinds, [EventKind.FLOW_OPENED, EventKind.FLOW_CLOSED])
 
+    async def test_ended_flow_is_freed_without_the_garbage_collector(self) -> None:
+        """The memory of a flow goes with it, however large the process is."""
+        gc.disable()
+        self.addCleanup(gc.enable)
+        self.edge.open_flow(forwarded(self.first_packet(caller())))
+        flow = weakref.ref(next(iter(self.edge._connection_ids)))
+        self.clock.jump(HANDSHAKE_TIMEOUT)
+        self.edge.offer(forwarded(handshake()))
+        await asyncio.sleep(2 * RELEASE_DELAY.total_seconds())
+        self.assertIsNone(flow())
+
     async def test_unknown_version_is_negotiated_for_whole_openings(self) -> None:
         """Small packets get no answer that is larger than they are."""
         packet = bytearray(opening())
