Free unacknowledged packets of an ended flow too

It now looks at the connection as well, and found that packets which were never acknowledged keep it alive.

--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow.py
@@ -264,13 +264,16 @@
     def _release(self) -> None:
         """Let the memory of an ended flow go at once.
 
-        The connection refers to itself by its callbacks, so without this it
-        would stay until the garbage collector looks at the oldest objects.
+        The connection refers to itself by its callbacks, and so do packets
+        that were not acknowledged; without this they would stay until the
+        garbage collector looks at the oldest objects.
         """
         if self._timer is not None:
             self._timer.cancel()
         self._connection_id_issued_handler = _ignore
         self._connection_id_retired_handler = _ignore
+        for space in self._quic._spaces.values():
+            space.sent_packets.clear()
         vars(self._quic).clear()
         vars(self._http).clear()
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_quic_edge.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_quic_edge.py
@@ -115,10 +115,12 @@
         self.addCleanup(gc.enable)
         self.edge.open_flow(forwarded(self.first_packet(caller())))
         flow = weakref.ref(next(iter(self.edge._connection_ids)))
+        connection = weakref.ref(next(iter(self.edge._connection_ids))._quic)
         self.clock.jump(HANDSHAKE_TIMEOUT)
         self.edge.offer(forwarded(handshake()))
         await asyncio.sleep(2 * RELEASE_DELAY.total_seconds())
         self.assertIsNone(flow())
+        self.assertIsNone(connection())
 
     async def test_unknown_version_is_negotiated_for_whole_openings(self) -> None:
         """Small packets get no answer that is larger than they are."""
