--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/const.py
@@ -17,3 +17,4 @@
 HANDSHAKE_TIMEOUT: Final = timedelta(seconds=10)
 RECEIVE_WINDOW_BYTES: Final = 262_144
 MAX_STREAM_DATA_FRAME_BYTES: Final = 17
+RELEASE_DELAY: Final = timedelta(milliseconds=100)
