--- /dev/null
+++ b/harness/spread_fleet.py
@@ -0,0 +1,199 @@
+"""Peers of the spread in one process, on real control connections."""
+
+import asyncio
+import contextvars
+import random
+from collections import Counter
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any, Final
+
+import aiohttp
+import attrs
+from grpclib.protocol import Connection, H2Protocol
+
+from harness.builders import large_document
+from harness.fleet import PortReserver
+from pomelotrail_core.clock import SystemClock
+from pomelotrail_core.configuration import ConfigurationCoordinator, ServiceSource
+from pomelotrail_core.configuration.const import VERSION_HEADER
+from pomelotrail_core.configuration.parser import ConfigurationParser
+from pomelotrail_core.configuration.publishing import PartedDocument, make_parts
+from pomelotrail_core.configuration.stream import part_digest
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.peers import ControlServer
+from pomelotrail_core.spread import GrpcNetwork, Spreader, SpreadService
+from pomelotrail_core.spread.report_taker import NoReports
+from pomelotrail_core.timeline import Recorder
+
+# A TLS record, the headers of TCP and IP, and the acknowledgement.
+SEGMENT_OVERHEAD_BYTES: Final = 22 + 52 + 52
+HEARTBEAT_OF_POLLING: Final = timedelta(seconds=1)
+
+_NODE: contextvars.ContextVar[str] = contextvars.ContextVar("node", default="")
+
+
+class ByteCounter:
+    """Counts what goes over the control connections of each peer."""
+
+    def __init__(self) -> None:
+        """Start to count for this Python process."""
+        self.bytes: Counter[str] = Counter()
+        self._received = H2Protocol.data_received
+        self._flush = Connection.flush
+        counter = self
+
+        def data_received(protocol: H2Protocol, data: bytes) -> None:
+            """Count received bytes."""
+            counter.bytes[_NODE.get()] += len(data) + SEGMENT_OVERHEAD_BYTES
+            counter._received(protocol, data)
+
+        def flush(connection: Connection) -> None:
+            """Count bytes to send."""
+            size = len(connection._connection._data_to_send)
+            if size:
+                counter.bytes[_NODE.get()] += size + SEGMENT_OVERHEAD_BYTES
+            counter._flush(connection)
+
+        H2Protocol.data_received = data_received
+        Connection.flush = flush
+
+    def stop(self) -> None:
+        """Count no more."""
+        H2Protocol.data_received = self._received
+        Connection.flush = self._flush
+
+
+@attrs.define
+class SpreadPeer:
+    """One peer with its control server."""
+
+    name: str
+    coordinator: ConfigurationCoordinator
+    source: ServiceSource
+    spreader: Spreader
+    server: ControlServer
+    tasks: list[asyncio.Task[None]] = attrs.Factory(list)
+    is_serving: bool = False
+
+
+class SpreadFleet:
+    """Peers that share a loop, a parser and a session, and nothing else."""
+
+    def __init__(self, size: int, zones: int, service: Endpoint, seed: int) -> None:
+        """Plan ``size`` peers; one in ten is a balancer."""
+        self._service = service
+        self._rng = random.Random(seed)
+        self._ports = PortReserver()
+        self._parser = ConfigurationParser()
+        self._session: aiohttp.ClientSession | None = None
+        balancers = max(size // 10, 1)
+        self.content = large_document(0, size - balancers, balancers, zones)
+        self._entries = _entries(self.content)
+        for entry in self._entries:
+            entry["control"] = str(self._ports.reserve())
+        self.peers: list[SpreadPeer] = []
+
+    @property
+    def calls(self) -> int:
+        """Return the calls to the service so far."""
+        return sum(peer.source.calls for peer in self.peers)
+
+    async def async_start_session(self) -> None:
+        """Open the session to the service."""
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+
+    async def async_start(self, is_polling: bool = False) -> None:
+        """Start the peers; with ``is_polling`` each one polls the service only."""
+        for entry in self._entries:
+            peer = self._make(entry)
+            self.peers.append(peer)
+            if is_polling:
+                peer.tasks.append(asyncio.create_task(self._async_poll(peer)))
+                continue
+            _NODE.set(peer.name)
+            await peer.server.async_start()
+            peer.is_serving = True
+            peer.tasks.append(asyncio.create_task(peer.spreader.async_run()))
+        _NODE.set("")
+
+    async def async_stop(self) -> None:
+        """Stop the peers."""
+        tasks = [task for peer in self.peers for task in peer.tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        serving = [peer.server for peer in self.peers if peer.is_serving]
+        await asyncio.gather(*(server.async_stop() for server in serving))
+        if self._session is not None:
+            await self._session.close()
+
+    async def async_publish(self) -> int:
+        """Publish the next version with one changed server."""
+        self.content["version"] += 1
+        service = self._rng.choice(self.content["services"])
+        self._rng.choice(service["backend_servers"])["slots"] += 1
+        await self._async_put(make_parts(self.content))
+        return self.content["version"]
+
+    async def async_wait_for(self, version: int, limit: timedelta) -> float:
+        """Wait until every peer has a version; return the seconds it took."""
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        async with asyncio.timeout(limit.total_seconds()):
+            for peer in self.peers:
+                await peer.coordinator.async_wait_until(
+                    lambda current: current.version >= version
+                )
+        return loop.time() - start
+
+    async def _async_put(self, document: PartedDocument) -> None:
+        """Publish parts, then the root."""
+        assert self._session is not None
+        admin = f"http://{self._service}/admin"
+        for part in document.parts:
+            url = f"{admin}/parts/{part_digest(part).hex()}"
+            await self._session.put(url, data=part)
+        headers = {VERSION_HEADER: str(self.content["version"])}
+        await self._session.put(
+            f"{admin}/document", data=document.root, headers=headers
+        )
+
+    def _make(self, entry: dict[str, Any]) -> SpreadPeer:
+        """Make one peer; nothing runs yet."""
+        clock = SystemClock()
+        name, zone = entry["name"], entry["zone"]
+        rng = random.Random(self._rng.random())
+        recorder = Recorder(name, zone, clock, size=16)
+        coordinator = ConfigurationCoordinator(clock, recorder, rng, self._parser)
+        source = ServiceSource(
+            f"http://{self._service}/v1/configuration", lambda: coordinator.document
+        )
+        assert self._session is not None
+        source.use(self._session)
+        spreader = Spreader(name, zone, coordinator, source, GrpcNetwork(), clock, rng)
+        endpoint = Endpoint.parse(entry["control"]).unwrap()
+        handlers = [SpreadService(spreader.publisher, NoReports())]
+        server = ControlServer(endpoint, handlers)
+        return SpreadPeer(name, coordinator, source, spreader, server)
+
+    async def _async_poll(self, peer: SpreadPeer) -> None:
+        """Ask the service again and again, as a process without peers would."""
+        await asyncio.sleep(self._rng.random())
+        while True:
+            document = await peer.source.async_next(
+                peer.coordinator.version, timedelta()
+            )
+            if document.is_ok() and document.unwrap() is not None:
+                peer.coordinator.offer(document.unwrap(), "service")
+            await asyncio.sleep(HEARTBEAT_OF_POLLING.total_seconds())
+
+
+def _entries(content: dict[str, Any]) -> Sequence[dict[str, Any]]:
+    """Return the entries of all processes in a document."""
+    servers = [
+        server
+        for service in content["services"]
+        for server in service["backend_servers"]
+    ]
+    return [*content["balancers"], *servers]
