Companions are watched, and suspicion spreads with the configuration

Cause: a balancer offered new flows to companions that had died until operators took them out.

A companion keeps a stream of heartbeats to three balancers in different zones. A monitor that hears nothing for 8 s, or whose stream has ended for 2 s, suspects it and reports all that it suspects to one reader of each zone. Readers count: two of three demote. The view goes down the tree with the beats, at most 64 companions, or one number for a zone that fails whole; it expires with its readers. Only the roster's candidates for new flows change. A companion that comes and goes is trusted after ever longer steadiness. A monitor that slept forgives the pause.

Ruled out: unary heartbeats (a TLS handshake each); every opinion of every monitor down the tree (1,640 companions of a zone, three opinions, 32 children); reports repeated at a fixed time (3,700 monitors every 15 s are 246 reports/s at a reader, so the reader tells when to repeat).

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -11,13 +11,14 @@
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
+from pomelotrail_core.membership.role import MemberRole
 from pomelotrail_core.metrics import Metrics
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
+from pomelotrail_core.process_spread import ProcessSpread
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
 from pomelotrail_core.routing.version_watch import VersionWatch
-from pomelotrail_core.spread import ProcessSpread
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
@@ -54,7 +55,12 @@
             self._metrics.meter("returns"),
         )
         self._spread = ProcessSpread(
-            process, self._coordinator, self._roster, clock, self._recorder
+            process,
+            self._coordinator,
+            self._roster,
+            clock,
+            self._recorder,
+            MemberRole.BALANCER,
         )
         self._waiting: set[asyncio.Task[None]] = set()
         self._control = ControlServer(
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -17,13 +17,14 @@
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
+from pomelotrail_core.membership.role import MemberRole
 from pomelotrail_core.metrics import Metrics
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
+from pomelotrail_core.process_spread import ProcessSpread
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
-from pomelotrail_core.spread import ProcessSpread
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.service import TimelineService
 
@@ -58,7 +59,12 @@
         self._roster = Roster()
         self._edge: QuicEdge | None = None
         self._spread = ProcessSpread(
-            process, self._coordinator, self._roster, clock, self._recorder
+            process,
+            self._coordinator,
+            self._roster,
+            clock,
+            self._recorder,
+            MemberRole.COMPANION,
         )
         self._control = ControlServer(
             process.control,
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/document.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/document.py
@@ -80,6 +80,11 @@
     classes: tuple[RequestClass, ...]
     backend_servers: tuple[BackendServer, ...]
 
+    @cached_property
+    def server_names(self) -> frozenset[str]:
+        """Return the names of the backend servers."""
+        return frozenset(server.name for server in self.backend_servers)
+
     def request_class(self, method: str, path: str) -> RequestClass | None:
         """Return the class with the longest path that matches."""
         matching = [each for each in self.classes if each.matches(method, path)]
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/membership/identity.py
@@ -0,0 +1,8 @@
+"""Short identifiers of processes, as suspicion is spread by them."""
+
+import xxhash
+
+
+def process_id(name: str) -> int:
+    """Return the 64-bit hash of the name of a process."""
+    return xxhash.xxh3_64_intdigest(name.encode())
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/membership/monitor.py
@@ -0,0 +1,137 @@
+"""Hears heartbeats in a balancer and reports what it suspects."""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable
+from datetime import timedelta
+
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Stream
+from result import Err, Ok
+
+from pomelotrail_core.clock import Clock
+from pomelotrail_core.configuration import Configuration
+from pomelotrail_core.logs import get_logger
+from pomelotrail_core.spread.network import PeerNetwork
+from pomelotrail_core.spread.spread_pb2 import SuspicionReport
+from pomelotrail_core.spread.tree import SpreadTree
+from pomelotrail_core.timeline import EventKind, Recorder
+
+from .const import REPORT_PAUSE, REPORT_REFRESH_MIN, SWEEP
+from .identity import process_id
+from .membership_grpc import MonitorBase
+from .membership_pb2 import Heartbeat, WatchReply
+from .monitor_table import MonitorTable
+
+_LOGGER = get_logger("membership")
+_INCARNATION_BITS = 63
+
+
+class Monitor(MonitorBase):
+    """Watches the companions that send heartbeats to this balancer."""
+
+    def __init__(
+        self,
+        name: str,
+        table: MonitorTable,
+        tree: Callable[[], SpreadTree | None],
+        network: PeerNetwork,
+        clock: Clock,
+        recorder: Recorder,
+        rng: random.Random,
+    ) -> None:
+        """Report to the readers of ``tree``."""
+        self._name = name
+        self._table = table
+        self._tree = tree
+        self._network = network
+        self._clock = clock
+        self._recorder = recorder
+        self._rng = rng
+        self._incarnation = secrets.randbits(_INCARNATION_BITS)
+        self._sequence = 0
+        self._refresh = REPORT_REFRESH_MIN
+
+    def configure(self, configuration: Configuration) -> None:
+        """Forget companions that are not listed any more."""
+        self._table.keep_only(
+            server.name
+            for service in configuration.services
+            for server in service.backend_servers
+        )
+
+    async def Watch(  # noqa: N802 (named by the protocol)
+        self, stream: Stream[Heartbeat, WatchReply]
+    ) -> None:
+        """Hear one companion until its stream ends."""
+        name = ""
+        try:
+            async for heartbeat in stream:
+                name = name or heartbeat.process
+                self._table.hear(name)
+            await stream.send_message(WatchReply())
+        except StreamTerminatedError:
+            _LOGGER.debug("The stream of %s ended", name)
+        finally:
+            self._table.lose(name)
+
+    async def async_run(self) -> None:
+        """Judge the companions again and again; runs until cancelled."""
+        told: frozenset[str] = frozenset()
+        told_at = self._clock.monotonic()
+        last = told_at
+        while True:
+            await self._clock.async_sleep(SWEEP * self._rng.uniform(0.8, 1.2))
+            now = self._clock.monotonic()
+            self._forgive(now - last)
+            last = now
+            self._table.sweep()
+            suspected = self._table.suspected
+            since = now - told_at
+            is_changed = suspected != told and since >= REPORT_PAUSE
+            if is_changed or (suspected and since >= self._refresh):
+                self._record(told, suspected)
+                told, told_at = suspected, now
+                await self._async_report(suspected)
+
+    def _forgive(self, passed: timedelta) -> None:
+        """Take a long time between two sweeps as a pause of this process."""
+        if passed > 3 * SWEEP:
+            self._table.forgive_own_pause(passed)
+
+    def _record(self, before: frozenset[str], now: frozenset[str]) -> None:
+        """Put what has changed on the time line."""
+        for name in sorted(now - before):
+            self._recorder.record(EventKind.SUSPECTED, detail=name)
+        for name in sorted(before - now):
+            self._recorder.record(EventKind.TRUSTED, detail=name)
+
+    async def _async_report(self, suspected: frozenset[str]) -> None:
+        """Report to one reader in each zone."""
+        tree = self._tree()
+        if tree is None:
+            return
+        self._sequence += 1
+        report = SuspicionReport(
+            monitor=self._name,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            suspected=sorted(process_id(name) for name in suspected),
+        )
+        await asyncio.gather(
+            *(self._async_report_to_zone(tree, zone, report) for zone in tree.zones)
+        )
+
+    async def _async_report_to_zone(
+        self, tree: SpreadTree, zone: str, report: SuspicionReport
+    ) -> None:
+        """Report to the first reader of a zone that answers."""
+        for reader in tree.readers(zone):
+            match await self._network.async_report(reader.control, report):
+                case Ok(reply):
+                    refresh = timedelta(milliseconds=reply.refresh_milliseconds)
+                    self._refresh = max(refresh, REPORT_REFRESH_MIN)
+                    return
+                case Err(error):
+                    _LOGGER.debug("%s", error)
--- a/packages/pomelotrail-core/pomelotrail_core/membership/roster.py
+++ b/packages/pomelotrail-core/pomelotrail_core/membership/roster.py
@@ -34,7 +34,10 @@
         self._suspected: frozenset[str] = frozenset()
         self._views: dict[int, _ServiceView] = {}
         self._packed_out: frozenset[bytes] = frozenset()
-        self._decided_by: tuple[frozenset[str], frozenset[str]] | None = None
+        self._decided_by: tuple[frozenset[str], frozenset[str]] = (
+            frozenset(),
+            frozenset(),
+        )
         self._packed_from: tuple[Balancer, ...] = ()
         self._packed_balancers: tuple[bytes, ...] = ()
 
@@ -106,11 +109,16 @@
         An unchanged service is the same object in the next version.
         """
         assert self._configuration is not None
-        decided_by = (self._configuration.zones_out, self._suspected)
-        if decided_by != self._decided_by:
-            self._decided_by = decided_by
+        zones_out, suspected = self._decided_by
+        self._decided_by = (self._configuration.zones_out, self._suspected)
+        if zones_out != self._configuration.zones_out:
             return {}
-        return {id(view.service): view for view in self._views.values()}
+        changed = suspected ^ self._suspected
+        return {
+            id(view.service): view
+            for view in self._views.values()
+            if view.service.server_names.isdisjoint(changed)
+        }
 
     def _view(self, service: Service) -> _ServiceView:
         """Work out one service."""
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/process_spread.py
@@ -0,0 +1,127 @@
+"""Sets up spread and membership of one process from its settings."""
+
+import asyncio
+import random
+from datetime import timedelta
+from typing import Any
+
+import aiohttp
+
+from pomelotrail_core.clock import Clock
+from pomelotrail_core.configuration import (
+    Configuration,
+    ConfigurationCoordinator,
+    ServiceSource,
+)
+from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.membership import Roster
+from pomelotrail_core.membership.board import ReaderBoard, RosterSuspicion
+from pomelotrail_core.membership.heartbeats import Heartbeats
+from pomelotrail_core.membership.monitor import Monitor
+from pomelotrail_core.membership.monitor_table import MonitorTable
+from pomelotrail_core.membership.role import MemberRole
+from pomelotrail_core.membership.tally import Tally
+from pomelotrail_core.settings.process_settings import ProcessSettings
+from pomelotrail_core.spread import (
+    GrpcNetwork,
+    Spreader,
+    SpreadService,
+    VersionComparison,
+)
+from pomelotrail_core.spread.const import COMPARE_TIMEOUT
+from pomelotrail_core.timeline import Recorder
+
+
+class ProcessSpread:
+    """The spread in a balancer or a companion."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        coordinator: ConfigurationCoordinator,
+        roster: Roster,
+        clock: Clock,
+        recorder: Recorder,
+        role: MemberRole,
+    ) -> None:
+        """Make the parts that need no session."""
+        self._coordinator = coordinator
+        network, rng = GrpcNetwork(), random.Random()
+        self._source = ServiceSource(
+            settings.configuration_service, lambda: coordinator.document
+        )
+        self._spreader = Spreader(
+            settings.name,
+            settings.zone,
+            coordinator,
+            self._source,
+            network,
+            clock,
+            rng,
+            settings.peers,
+        )
+        spreader = self._spreader
+        tally = Tally(clock, lambda: coordinator.current)
+        board = ReaderBoard(settings.name, tally, spreader.is_reader, clock)
+        suspicion = RosterSuspicion(roster, lambda: coordinator.current)
+        spreader.views.set_own(board.view)
+        spreader.views.add_listener(suspicion.take)
+        self._handlers: list[Any] = [SpreadService(spreader.publisher, board)]
+        self._monitor: Monitor | None = None
+        self._heartbeats: Heartbeats | None = None
+        if role is MemberRole.COMPANION:
+            self._heartbeats = Heartbeats(settings.name, clock)
+            return
+        self._monitor = Monitor(
+            settings.name,
+            MonitorTable(clock),
+            lambda: spreader.tree,
+            network,
+            clock,
+            recorder,
+            rng,
+        )
+        self._handlers.append(self._monitor)
+
+    @property
+    def handlers(self) -> list[Any]:
+        """Return the grpclib services of the spread."""
+        return list(self._handlers)
+
+    @property
+    def spreader(self) -> Spreader:
+        """Return the part that reads, follows and feeds."""
+        return self._spreader
+
+    def start(self, session: aiohttp.ClientSession) -> asyncio.Task[None]:
+        """Start to read, follow and watch; cancel the task to stop."""
+        self._source.use(session)
+        return asyncio.create_task(self._async_run())
+
+    async def _async_run(self) -> None:
+        """Run the parts of this process."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._spreader.async_run())
+                if self._heartbeats is not None:
+                    self._coordinator.add_listener(self._heartbeats.configure)
+                if self._monitor is not None:
+                    self._coordinator.add_listener(self._monitor.configure)
+                    group.create_task(self._monitor.async_run())
+        finally:
+            if self._heartbeats is not None:
+                self._heartbeats.stop()
+
+    async def async_wait_ready(self) -> Configuration:
+        """Wait for the highest version that service and peers have."""
+        return await self._spreader.async_wait_ready()
+
+    async def async_compare_versions(
+        self, timeout: timedelta = COMPARE_TIMEOUT
+    ) -> VersionComparison:
+        """Compare with peers and service, and adopt what is higher."""
+        return await self._spreader.async_compare_versions(timeout)
+
+    def hear_of(self, version: int, packets: Endpoint) -> None:
+        """Take the version that a peer's packet carried."""
+        self._spreader.hear_of(version, packets)
--- a/packages/pomelotrail-core/pomelotrail_core/spread/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/__init__.py
@@ -2,14 +2,12 @@
 
 from .grpc_network import GrpcNetwork
 from .network import PeerNetwork
-from .process_spread import ProcessSpread
 from .service import SpreadService
 from .spreader import Spreader, VersionComparison
 
 __all__ = [
     "GrpcNetwork",
     "PeerNetwork",
-    "ProcessSpread",
     "SpreadService",
     "Spreader",
     "VersionComparison",
--- a/packages/pomelotrail-core/pomelotrail_core/spread/tests/test_spread.py
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/tests/test_spread.py
@@ -13,11 +13,13 @@
 from pomelotrail_core.configuration.source import Document
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.spread.const import (
+    BEAT,
     RETRY_MAX,
     SILENCE,
     STALE_AFTER,
+    VIEW_EXPIRY,
 )
-from pomelotrail_core.spread.spread_pb2 import SpreadMessage
+from pomelotrail_core.spread.spread_pb2 import SpreadMessage, SuspicionView
 
 from .fakes import FakeFleet, Peer
 
@@ -248,6 +250,31 @@
         run_fleet(_async_scenario)
 
 
+class ViewTest(unittest.TestCase):
+    """Views of suspicion travel with the configuration, and expire."""
+
+    def test_view_reaches_everybody_and_expires(self) -> None:
+        """Every peer has a reader's view, and drops it when readers are gone."""
+
+        async def _async_scenario(fleet: FakeFleet) -> None:
+            view = SuspicionView(reader="reader", sequence=1, suspected=[7])
+            readers = [p for p in fleet.honest if p.spreader.is_reader()]
+            for reader in readers:
+                reader.spreader.views.set_own(lambda: view)
+            await asyncio.sleep(5 * BEAT.total_seconds())
+            for peer in fleet.honest:
+                current = peer.spreader.views.current
+                self.assertIsNotNone(current)
+                self.assertEqual(list(current.suspected), [7])
+            for reader in readers:
+                fleet.crash(reader)
+            await asyncio.sleep((VIEW_EXPIRY + 5 * BEAT).total_seconds())
+            for peer in fleet.honest:
+                self.assertIsNone(peer.spreader.views.current)
+
+        run_fleet(_async_scenario, FEW_SERVERS)
+
+
 class LyingParentTest(unittest.TestCase):
     """Parents that are wrong delay nobody and convince nobody."""
 
