--- a/harness/spread_fleet.py
+++ b/harness/spread_fleet.py
@@ -10,7 +10,8 @@
 
 import aiohttp
 import attrs
-from grpclib.protocol import Connection, H2Protocol
+from grpclib.protocol import H2Protocol
+from h2.connection import H2Connection
 
 from harness.builders import large_document
 from harness.fleet import PortReserver
@@ -40,28 +41,32 @@
         """Start to count for this Python process."""
         self.bytes: Counter[str] = Counter()
         self._received = H2Protocol.data_received
-        self._flush = Connection.flush
+        self._data_to_send = H2Connection.data_to_send
         counter = self
 
         def data_received(protocol: H2Protocol, data: bytes) -> None:
             """Count received bytes."""
-            counter.bytes[_NODE.get()] += len(data) + SEGMENT_OVERHEAD_BYTES
+            counter.add(len(data))
             counter._received(protocol, data)
 
-        def flush(connection: Connection) -> None:
+        def data_to_send(connection: H2Connection, amount: int | None = None) -> bytes:
             """Count bytes to send."""
-            size = len(connection._connection._data_to_send)
-            if size:
-                counter.bytes[_NODE.get()] += size + SEGMENT_OVERHEAD_BYTES
-            counter._flush(connection)
+            data = counter._data_to_send(connection, amount)
+            counter.add(len(data))
+            return data
 
         H2Protocol.data_received = data_received
-        Connection.flush = flush
+        H2Connection.data_to_send = data_to_send
+
+    def add(self, size: int) -> None:
+        """Add one segment of the peer whose task runs; an empty one is none."""
+        if size:
+            self.bytes[_NODE.get()] += size + SEGMENT_OVERHEAD_BYTES
 
     def stop(self) -> None:
         """Count no more."""
         H2Protocol.data_received = self._received
-        Connection.flush = self._flush
+        H2Connection.data_to_send = self._data_to_send
 
 
 @attrs.define
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -18,22 +18,30 @@
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.membership.role import MemberRole
-from pomelotrail_core.metrics import Metrics
+from pomelotrail_core.metrics import Metric, Metrics, Reading, observe_gauge
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
 from pomelotrail_core.process_spread import ProcessSpread
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
+from pomelotrail_core.spread import PeerCheck
+from pomelotrail_core.tickets import Executor, TicketMint, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
+from pomelotrail_core.timeline.metrics import observe_process
 from pomelotrail_core.timeline.service import TimelineService
+from pomelotrail_core.waking import WakeGuard
 
-from .admission import AdmissionGate
+from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.shutdown import GracefulShutdown
+from .draining.state import ServingState
 from .edge import ConnectionLimit, QuicEdge
-from .edge.assembly import EdgeContext, async_open_edge
+from .edge.assembly import EdgeContext, open_edge
+from .ledger import GrpcPeers, Once, RelayService, ServicePeers
 from .requests import Dispatcher, RequestHandler
+from .requests.accounting import RequestAccounting
 from .settings import CompanionSettings
 
 _LOGGER = get_logger("companion")
@@ -55,9 +63,25 @@
         self._coordinator = ConfigurationCoordinator(
             clock, self._recorder, random.Random()
         )
+        self._accounting = RequestAccounting(self._metrics.meter("requests"))
         self._draining = DrainingState(process.name, process.zone, self._recorder)
+        observe_process(
+            self._metrics.meter("process"),
+            self._recorder,
+            lambda: self._coordinator.version,
+        )
         self._roster = Roster()
         self._edge: QuicEdge | None = None
+        self._scheduler: Scheduler | None = None
+        observe_gauge(
+            self._metrics.meter("edge"),
+            Metric("flows", "{flow}", "Open flows"),
+            lambda: [Reading(self._flow_count())],
+        )
+        self._sealer = TicketSealer(process.token_keys)
+        self._relay = RelayService(settings.service, self._sealer, clock)
+        self._peers = GrpcPeers(settings.service, clock)
+        self._once: Once | None = None
         self._spread = ProcessSpread(
             process,
             self._coordinator,
@@ -78,6 +102,7 @@
                     lambda: self._coordinator.version,
                     self._figures,
                 ),
+                self._relay,
             ],
         )
 
@@ -102,13 +127,18 @@
                 self._settings.backend_server, kept, self._clock, fresh
             )
             handler = self._handler(configuration, backend)
-            await self._async_open_edge(configuration, handler)
+            check = PeerCheck(self._spread.spreader, self._clock)
+            guard = WakeGuard(self._clock, check, self._recorder)
+            ticking = asyncio.create_task(guard.async_tick())
+            self._open_edge(configuration, handler, guard)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
+            ticking.cancel()
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
+        self._peers.close()
         await self._control.async_stop()
         await self._metrics.async_stop()
 
@@ -127,8 +157,8 @@
             lambda current: _is_listed(current, service, name)
         )
 
-    async def _async_open_edge(
-        self, configuration: Configuration, handler: RequestHandler
+    def _open_edge(
+        self, configuration: Configuration, handler: RequestHandler, guard: WakeGuard
     ) -> None:
         """Open the caller edge for the service in the settings."""
         process = self._settings.process
@@ -141,7 +171,7 @@
         token = RoutingToken(
             zone.number, process.packets, service.number, self._incarnation & 0xFFFF
         )
-        self._edge = await async_open_edge(
+        self._edge = open_edge(
             EdgeContext(
                 process=process,
                 token=token,
@@ -150,6 +180,7 @@
                 handler=handler,
                 admission=ConnectionLimit(server.connections),
                 draining=self._draining,
+                hold=guard,
                 roster=self._roster,
                 own_version=lambda: self._coordinator.version,
                 versions=VersionWatch(
@@ -172,28 +203,66 @@
         """Return the steps that each request passes."""
         service = configuration.service(self._settings.service)
         server = _own_server(service, self._settings.process.name)
+        assert service is not None
         assert server is not None
-        gate = AdmissionGate(server.slots, backend)
-        return Dispatcher(
-            self._settings.service,
+        limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
+        self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        gate = AdmissionGate(
+            self._scheduler, backend, self._clock, self._recorder, random.Random()
+        )
+        control = self._settings.process.control
+        executor = Executor(control, self._incarnation, service.number)
+        mint = TicketMint(executor, self._sealer, self._clock)
+        self._once = Once.build(
+            mint,
+            self._sealer,
+            self._peers,
+            ServicePeers(service.name, control, self._coordinator, random.Random()),
+            lambda: self._draining.state is ServingState.LEAVING,
+            gate,
+            self._clock,
+            self._recorder,
+        )
+        dispatcher = Dispatcher(
+            service.name,
             self._coordinator,
             self._clock,
             self._recorder,
-            gate,
+            self._once.handler,
+            self._accounting,
         )
+        self._relay.attach(dispatcher, self._once.resolver, mint)
+        return dispatcher
 
     async def _async_leave(self) -> None:
-        """Take no more work and close the flows."""
-        self._draining.stop()
-        self._recorder.record(EventKind.PROCESS_STOPPING)
-        if self._edge is not None:
-            self._edge.announce_leaving()
-            self._edge.close_all()
+        """Take no more work, and end when the running requests have."""
+        if self._edge is None:
+            return
+        shutdown = GracefulShutdown(
+            self._edge,
+            self._draining,
+            self._clock,
+            self._recorder,
+            self._settings.drain_limit,
+        )
+        await shutdown.async_run()
+        if self._once is not None:
+            await self._once.executions.async_settle()
+
+    def _flow_count(self) -> int:
+        """Return the number of open flows."""
+        return self._edge.flow_count if self._edge is not None else 0
 
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
-        flows = self._edge.flow_count if self._edge is not None else 0
-        return {"flows": float(flows)}
+        admission = {} if self._scheduler is None else self._scheduler.figures()
+        moved = 0 if self._edge is None else self._edge.moved_flow_count
+        return {
+            "flows": float(self._flow_count()),
+            "flows_moved": float(moved),
+            **self._accounting.figures,
+            **admission,
+        }
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
--- a/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
@@ -18,16 +18,7 @@
     arguments: Sequence[str] | None = None,
 ) -> int:
     """Parse the arguments, run their command and return its exit code."""
-    parser = argparse.ArgumentParser(
-        prog=program,
-        description=description,
-        epilog=EXIT_CODES_HELP,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-    )
-    chosen = parser.add_subparsers(required=True, metavar="COMMAND")
-    for command in commands:
-        command.register(chosen)
-    parsed = parser.parse_args(arguments)
+    parsed = command_parser(program, description, commands).parse_args(arguments)
     directory = os.environ.get(TLS_DIRECTORY_VARIABLE, "")
     if problem := set_up_operator_security(directory):
         print(problem, file=sys.stderr)
@@ -40,3 +31,19 @@
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return EXIT_OK
     return code
+
+
+def command_parser(
+    program: str, description: str, commands: Sequence[Command]
+) -> argparse.ArgumentParser:
+    """Return the parser of a program's command line."""
+    parser = argparse.ArgumentParser(
+        prog=program,
+        description=description,
+        epilog=EXIT_CODES_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    chosen = parser.add_subparsers(required=True, metavar="COMMAND")
+    for command in commands:
+        command.register(chosen)
+    return parser
