Libraries can't flood the log, and their lines have a prefix

Cause: while rotating keys by hand aioquic logged each closed connection, without a prefix and with the connection's name in its template, so that the limit on repeats never saw two alike. The limit now goes by place in the code, lines without a part get the name of their library, and libraries speak only of trouble unless log_level is debug. With the limit by template and the libraries' level left, two tests failed.

--- a/packages/pomelotrail-core/pomelotrail_core/logs.py
+++ b/packages/pomelotrail-core/pomelotrail_core/logs.py
@@ -17,7 +17,8 @@
 JSON_LOGS: Final = "json"
 REPEAT_INTERVAL: Final = timedelta(seconds=10)
 LINES_PER_INTERVAL: Final = 5
-MAX_TEMPLATES: Final = 1_000
+MAX_PLACES: Final = 1_000
+LIBRARY_LOGGERS: Final = ("aiohttp", "asyncio", "quic")
 
 
 class _PrefixAdapter(logging.LoggerAdapter):
@@ -33,15 +34,26 @@
 
 @attrs.define
 class _Interval:
-    """How many lines of one template came in the interval under way."""
+    """How many lines came from one place in the interval under way."""
 
     began: timedelta
     passed: int = 0
     left_out: int = 0
 
 
+class PartFilter(logging.Filter):
+    """Puts the name of its library in front of a line that has no part."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Name the part of one line; every line passes."""
+        if not hasattr(record, "part"):
+            record.part = record.name
+            record.msg = f"{record.name}: {record.msg}"
+        return True
+
+
 class RepeatFilter(logging.Filter):
-    """Lets few lines of the same template pass in each interval.
+    """Lets few lines from the same place in the code pass in each interval.
 
     Under overload the same line would come thousands of times a second. The
     first line of the next interval says how many were left out::
@@ -57,26 +69,26 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Tell whether a line passes; it may get a note on those left out."""
-        template = str(record.msg)
+        place = f"{record.pathname}:{record.lineno}"
         now = self._clock.monotonic()
-        interval = self._intervals.get(template)
+        interval = self._intervals.get(place)
         if interval is None or now - interval.began >= REPEAT_INTERVAL:
             left_out = interval.left_out if interval is not None else 0
-            interval = self._begin(template, now)
+            interval = self._begin(place, now)
             if left_out:
-                record.msg = f"{template} ({left_out:,} like it left out)"
+                record.msg = f"{record.msg} ({left_out:,} like it left out)"
         if interval.passed >= LINES_PER_INTERVAL:
             interval.left_out += 1
             return False
         interval.passed += 1
         return True
 
-    def _begin(self, template: str, now: timedelta) -> _Interval:
-        """Start a new interval for a template."""
-        if len(self._intervals) >= MAX_TEMPLATES:
+    def _begin(self, place: str, now: timedelta) -> _Interval:
+        """Start a new interval for a place."""
+        if len(self._intervals) >= MAX_PLACES:
             self._intervals.clear()
         interval = _Interval(now)
-        self._intervals[template] = interval
+        self._intervals[place] = interval
         return interval
 
 
@@ -115,6 +127,15 @@
     absl_logging.set_stderrthreshold(level)
     handler = absl_logging.get_absl_handler().python_handler
     handler.stream = sys.stderr
+    handler.addFilter(PartFilter())
     handler.addFilter(RepeatFilter(SystemClock()))
+    if level != "debug":
+        _quieten_libraries()
     if form == JSON_LOGS:
         absl_logging.get_absl_handler().setFormatter(JsonFormatter())
+
+
+def _quieten_libraries() -> None:
+    """Let libraries speak only of trouble; they tell of every connection else."""
+    for name in LIBRARY_LOGGERS:
+        logging.getLogger(name).setLevel(logging.WARNING)
--- a/packages/pomelotrail-core/pomelotrail_core/tests/test_logs.py
+++ b/packages/pomelotrail-core/pomelotrail_core/tests/test_logs.py
@@ -11,13 +11,14 @@
     LINES_PER_INTERVAL,
     REPEAT_INTERVAL,
     JsonFormatter,
+    PartFilter,
     RepeatFilter,
 )
 
 
-def _record(template: str, *values: object) -> logging.LogRecord:
-    """Return a line as a logger makes it."""
-    return logging.LogRecord("absl", logging.INFO, "a.py", 1, template, values, None)
+def _record(template: str, *values: object, line: int = 1) -> logging.LogRecord:
+    """Return a line as a logger makes it at a line of the code."""
+    return logging.LogRecord("quic", logging.INFO, "a.py", line, template, values, None)
 
 
 class RepeatFilterTest(unittest.TestCase):
@@ -46,7 +47,14 @@
         """A flood of one line hides no other."""
         for _ in range(100):
             self.filter.filter(_record("edge: full"))
-        self.assertTrue(self.filter.filter(_record("draining: Leaving")))
+        self.assertTrue(self.filter.filter(_record("draining: Leaving", line=2)))
+
+    def test_texts_that_differ_are_bounded_too(self) -> None:
+        """A library that puts names into its templates can't flood either."""
+        passed = sum(
+            self.filter.filter(_record(f"[{number}] closed")) for number in range(100)
+        )
+        self.assertEqual(passed, LINES_PER_INTERVAL)
 
 
 class LogFormatTest(unittest.TestCase):
@@ -61,6 +69,25 @@
         self.assertEqual(content["message"], "Request f1 failed")
         self.assertEqual(content["level"], "info")
 
+    def test_line_of_a_library(self) -> None:
+        """A line without a part gets the name of its library as the prefix."""
+        line = _record("Socket closed")
+        PartFilter().filter(line)
+        self.assertEqual(line.getMessage(), "quic: Socket closed")
+
+    def test_libraries_speak_only_of_trouble(self) -> None:
+        """A library's line about one connection is left out."""
+        code = (
+            "import logging; from pomelotrail_core.logs import set_up_logs;"
+            "set_up_logs('info'); logging.getLogger('quic').info('closed');"
+            "logging.getLogger('quic').warning('broken')"
+        )
+        lines = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        ).stderr
+        self.assertNotIn("closed", lines)
+        self.assertIn("quic: broken", lines)
+
     def test_both_forms_of_a_program(self) -> None:
         """A program writes its lines to standard error in the chosen form."""
         code = (
