--- a/packages/pomelotrail-core/pomelotrail_core/spread/peer_check.py
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/peer_check.py
@@ -4,13 +4,13 @@
 from pomelotrail_core.waking import ConfigurationCheck
 from pomelotrail_core.waking.const import CHECK_RETRY
 
-from .process_spread import ProcessSpread
+from .spreader import Spreader
 
 
 class PeerCheck(ConfigurationCheck):
     """Asks peers and the configuration service until anybody answers."""
 
-    def __init__(self, spread: ProcessSpread, clock: Clock) -> None:
+    def __init__(self, spread: Spreader, clock: Clock) -> None:
         """Compare through the spread of this process."""
         self._spread = spread
         self._clock = clock
