--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -84,7 +84,7 @@
                     process.zone,
                     "balancer",
                     lambda: self._coordinator.version,
-                    dict,
+                    self._figures,
                 ),
             ],
         )
@@ -116,6 +116,13 @@
         await self._control.async_stop()
         await self._metrics.async_stop()
 
+    def _figures(self) -> dict[str, float]:
+        """Return the figures for the status of the process."""
+        return {
+            "forwarded": float(sum(self._forwarded.counts.values())),
+            "dropped": float(sum(self._dropped.counts.values())),
+        }
+
     def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
         """Ask for a version which this process has missed."""
         _LOGGER.info("Version %d is in force at %s", version, sender)
