A relayed request names the order that made its companion leave

Cause: the story of a request on an old flow showed that it was relayed, not why; and refusals for a silent executor looked for suspicions that companions never record.

--- a/packages/pomelotrail-companion/pomelotrail_companion/draining/leaving.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/leaving.py
@@ -42,7 +42,10 @@
         if self._state.takes_new_flows:
             return await self._next.async_handle(request)
         self._recorder.record(
-            EventKind.REQUEST_RELAYED, flow=request.flow, request=request.identifier
+            EventKind.REQUEST_RELAYED,
+            flow=request.flow,
+            request=request.identifier,
+            cause=self._recorder.latest(EventKind.DRAINING, EventKind.ZONE_OUT),
         )
         return await self._relay.async_relay(request)
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/requests/journal.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/requests/journal.py
@@ -39,8 +39,6 @@
     RefusalKind.BACKEND_FAILED: _TEMPERATURES,
     RefusalKind.LEAVING: _ORDERS,
     RefusalKind.UNKNOWN_CLASS: (EventKind.CONFIGURATION_IN_FORCE,),
-    RefusalKind.EXECUTOR_UNREACHABLE: (EventKind.SUSPECTED,),
-    RefusalKind.EXECUTOR_GONE: (EventKind.SUSPECTED,),
 }
 
 
