Idempotent requests are retried elsewhere, under a budget

Cause: a request of an idempotent class that its backend server failed went back to the caller although another server could have answered in time. Now it is sent once more, to another companion, within the deadline and a token bucket (a tenth of all requests, ten at once); relayed requests are not retried again, so nothing multiplies. Ruled out: holding the body before admission (overload is refused before the body is read), and replaying a body whose read was cut off: that ends the generators under it, and the repeated request would look whole without its rest.

--- a/packages/pomelotrail-companion/pomelotrail_companion/ledger/once.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/ledger/once.py
@@ -6,6 +6,7 @@
 import attrs
 
 from pomelotrail_companion.requests import RequestHandler
+from pomelotrail_companion.requests.retry import RetryBudget, RetryStep
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.tickets import TicketMint, TicketSealer
 from pomelotrail_core.timeline import Recorder
@@ -59,7 +60,7 @@
             delegation,
             relay,
             is_leaving,
-            next_handler,
+            RetryStep(next_handler, relay, RetryBudget(), clock),
             clock,
         )
         return cls(ledger, executions, resolver, relay, handler)
