--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -17,13 +17,15 @@
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
+from pomelotrail_core.membership.role import MemberRole
 from pomelotrail_core.metrics import Metric, Metrics, Reading, observe_gauge
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
+from pomelotrail_core.process_spread import ProcessSpread
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
-from pomelotrail_core.spread import PeerCheck, ProcessSpread
+from pomelotrail_core.spread import PeerCheck
 from pomelotrail_core.tickets import Executor, TicketMint, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.metrics import observe_process
@@ -31,12 +33,15 @@
 from pomelotrail_core.waking import WakeGuard
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
+from .admission.limit import ColdEvidence
+from .admission.metrics import observe_admission
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.orders import call_on_return
 from .draining.shutdown import GracefulShutdown
 from .draining.state import ServingState
-from .edge import ConnectionLimit, QuicEdge
-from .edge.assembly import EdgeContext, open_edge
+from .edge import ConnectionLimit
+from .edge.assembly import EdgeContext, OpenedEdge, open_edge
 from .ledger import GrpcPeers, Once, RelayService, ServicePeers
 from .requests import Dispatcher, RequestHandler
 from .requests.accounting import RequestAccounting
@@ -69,7 +74,7 @@
             lambda: self._coordinator.version,
         )
         self._roster = Roster()
-        self._edge: QuicEdge | None = None
+        self._edge: OpenedEdge | None = None
         self._scheduler: Scheduler | None = None
         observe_gauge(
             self._metrics.meter("edge"),
@@ -81,7 +86,12 @@
         self._peers = GrpcPeers(settings.service, clock)
         self._once: Once | None = None
         self._spread = ProcessSpread(
-            process, self._coordinator, self._roster, clock, self._recorder
+            process,
+            self._coordinator,
+            self._roster,
+            clock,
+            self._recorder,
+            MemberRole.COMPANION,
         )
         self._control = ControlServer(
             process.control,
@@ -120,7 +130,7 @@
                 self._settings.backend_server, kept, self._clock, fresh
             )
             handler = self._handler(configuration, backend)
-            check = PeerCheck(self._spread, self._clock)
+            check = PeerCheck(self._spread.spreader, self._clock)
             guard = WakeGuard(self._clock, check, self._recorder)
             ticking = asyncio.create_task(guard.async_tick())
             self._open_edge(configuration, handler, guard)
@@ -199,7 +209,11 @@
         assert service is not None
         assert server is not None
         limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
-        self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        self._scheduler = scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        observe_admission(self._metrics.meter("admission"), scheduler)
+        call_on_return(
+            self._draining, lambda: scheduler.take_evidence(ColdEvidence.RETURNED)
+        )
         gate = AdmissionGate(
             self._scheduler, backend, self._clock, self._recorder, random.Random()
         )
@@ -232,7 +246,7 @@
         if self._edge is None:
             return
         shutdown = GracefulShutdown(
-            self._edge,
+            self._edge.flows,
             self._draining,
             self._clock,
             self._recorder,
@@ -244,18 +258,13 @@
 
     def _flow_count(self) -> int:
         """Return the number of open flows."""
-        return self._edge.flow_count if self._edge is not None else 0
+        return self._edge.flows.flow_count if self._edge is not None else 0
 
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
         admission = {} if self._scheduler is None else self._scheduler.figures()
-        moved = 0 if self._edge is None else self._edge.moved_flow_count
-        return {
-            "flows": float(self._flow_count()),
-            "flows_moved": float(moved),
-            **self._accounting.figures,
-            **admission,
-        }
+        edge = {} if self._edge is None else self._edge.figures
+        return {**edge, **self._accounting.figures, **admission}
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
