--- a/packages/pomelotrail-core/pomelotrail_core/membership/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/membership/const.py
@@ -24,4 +24,4 @@
 # What one view carries at most; zones that fail whole are one number each.
 MAX_SUSPECTED: Final = 64
 ZONE_SHARE: Final = 0.5
-VIEW_PAUSE: Final = timedelta(seconds=2)
+VIEW_PAUSE: Final = timedelta(seconds=5)
--- a/packages/pomelotrail-core/pomelotrail_core/spread/network.py
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/network.py
@@ -37,3 +37,7 @@
         self, peer: Endpoint, report: SuspicionReport
     ) -> Result[ReportReply, PeerError]:
         """Tell a reader what a monitor suspects."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close connections that are kept for later questions."""
--- a/packages/pomelotrail-core/pomelotrail_core/spread/spreader.py
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/spreader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 from collections.abc import Sequence
 from datetime import timedelta
@@ -23,6 +24,7 @@
     COMPARE_INTERVAL,
     COMPARE_TIMEOUT,
     COMPARED_PEERS,
+    COMPARISONS_WITH_ONE_PEER,
     PARENT_SLOTS,
 )
 from .follower import Follower
@@ -81,6 +83,7 @@
         self._bootstrap = tuple(bootstrap)
         self._tree: SpreadTree | None = None
         self._asking = False
+        self._compared: list[Member] = []
         self.freshness = Freshness(clock)
         self.views = ViewHolder(clock)
         self.publisher = Publisher(name, coordinator, clock, self.freshness, self.views)
@@ -108,15 +111,18 @@
 
     async def async_run(self) -> None:
         """Read, follow and feed; runs until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._reader.async_run())
-            group.create_task(self.publisher.async_beat())
-            group.create_task(self._async_expire_views())
-            group.create_task(self._async_bootstrap())
-            group.create_task(self._async_compare_often())
-            await self._coordinator.async_wait_first()
-            for follower in self.followers:
-                group.create_task(follower.async_run())
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._reader.async_run())
+                group.create_task(self.publisher.async_beat())
+                group.create_task(self._async_expire_views())
+                group.create_task(self._async_bootstrap())
+                group.create_task(self._async_compare_often())
+                await self._coordinator.async_wait_first()
+                for follower in self.followers:
+                    group.create_task(follower.async_run())
+        finally:
+            self._network.close()
 
     async def async_wait_ready(self) -> Configuration:
         """Wait for a configuration, then compare it with peers once."""
@@ -237,14 +243,24 @@
             await self._clock.async_sleep(BEAT / 2)
 
     async def _async_compare_often(self) -> None:
-        """Compare with one peer at random, in case both parents are behind."""
-        while True:
+        """Compare with one of a few random peers, in case both parents are behind.
+
+        The peers are asked in turn and seldom replaced, so that connections to
+        them are used again.
+        """
+        for count in itertools.count():
             jitter = self._rng.uniform(0.5, 1.5)
             await self._clock.async_sleep(COMPARE_INTERVAL * jitter)
             if self._tree is None:
                 continue
-            for member in self._tree.some_members(self._name, self._rng, 1):
-                await self._async_compare(member.control)
+            if count % COMPARISONS_WITH_ONE_PEER == 0 or not self._compared:
+                self._compared = self._tree.some_members(
+                    self._name, self._rng, COMPARED_PEERS
+                )
+            for member in self._compared[:1]:
+                answered = await self._async_compare(member.control)
+                kept = [member] if answered else []
+                self._compared = [*self._compared[1:], *kept]
 
     async def _async_expire_views(self) -> None:
         """Look from time to time whether a view has expired."""
--- a/packages/pomelotrail-core/pomelotrail_core/spread/tests/fakes.py
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/tests/fakes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 from typing import Any, Final
@@ -25,6 +25,7 @@
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.peers import PeerError
 from pomelotrail_core.spread import PeerNetwork, Spreader
+from pomelotrail_core.spread.const import KEPT_CHANNELS
 from pomelotrail_core.spread.errors import SpreadRefused
 from pomelotrail_core.spread.spread_pb2 import (
     FetchRequest,
@@ -38,6 +39,8 @@
 
 # Frames of gRPC, HTTP/2 and TLS, packets of TCP and IP, and the answer to them.
 MESSAGE_OVERHEAD_BYTES: Final = 160
+# The TLS handshake and the settings of HTTP/2.
+CONNECTION_BYTES: Final = 4_300
 LATENCY: Final = timedelta(milliseconds=20)
 CONNECT_TIMEOUT: Final = timedelta(seconds=1)
 
@@ -284,6 +287,7 @@
         """Carry what the peer at ``own`` sends and asks for."""
         self._fleet = fleet
         self._own = own
+        self._asked: deque[Endpoint] = deque(maxlen=KEPT_CHANNELS)
 
     async def async_follow(
         self, peer: Endpoint, request: FollowRequest
@@ -293,7 +297,7 @@
         if other is None or not other.is_running or self._fleet.is_cut(me, other):
             await asyncio.sleep(CONNECT_TIMEOUT.total_seconds())
             return
-        await self._fleet.async_carry(me, other)
+        await self._async_connect(me, other)
         try:
             async for message in other.spreader.publisher.async_updates(request):
                 yield await self._async_deliver(other, me, message)
@@ -308,7 +312,11 @@
         if other is None or not other.is_running or self._fleet.is_cut(me, other):
             await asyncio.sleep(CONNECT_TIMEOUT.total_seconds())
             return Err(PeerError(peer, "no answer"))
-        await self._fleet.async_carry(me, other)
+        if peer in self._asked:
+            await self._fleet.async_carry(me, other)
+        else:
+            self._asked.append(peer)
+            await self._async_connect(me, other)
         try:
             message = other.spreader.publisher.fetch(request)
         except SpreadRefused as refused:
@@ -321,6 +329,16 @@
         """Nobody takes reports here."""
         return Err(PeerError(peer, "no reader"))
 
+    def close(self) -> None:
+        """Forget whom this peer has asked."""
+        self._asked.clear()
+
+    async def _async_connect(self, me: Peer, other: Peer) -> None:
+        """Open a connection and count its bytes at both ends."""
+        for peer in (me, other):
+            peer.sent_bytes += CONNECTION_BYTES
+        await self._fleet.async_carry(me, other)
+
     async def _async_deliver(
         self, sender: Peer, receiver: Peer, message: SpreadMessage
     ) -> SpreadMessage:
