--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -33,12 +33,15 @@
 from pomelotrail_core.waking import WakeGuard
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
+from .admission.limit import ColdEvidence
+from .admission.metrics import observe_admission
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
+from .draining.orders import call_on_return
 from .draining.shutdown import GracefulShutdown
 from .draining.state import ServingState
-from .edge import ConnectionLimit, QuicEdge
-from .edge.assembly import EdgeContext, open_edge
+from .edge import ConnectionLimit
+from .edge.assembly import EdgeContext, OpenedEdge, open_edge
 from .ledger import GrpcPeers, Once, RelayService, ServicePeers
 from .requests import Dispatcher, RequestHandler
 from .requests.accounting import RequestAccounting
@@ -71,7 +74,7 @@
             lambda: self._coordinator.version,
         )
         self._roster = Roster()
-        self._edge: QuicEdge | None = None
+        self._edge: OpenedEdge | None = None
         self._scheduler: Scheduler | None = None
         observe_gauge(
             self._metrics.meter("edge"),
@@ -206,7 +209,11 @@
         assert service is not None
         assert server is not None
         limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
-        self._scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        self._scheduler = scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        observe_admission(self._metrics.meter("admission"), scheduler)
+        call_on_return(
+            self._draining, lambda: scheduler.take_evidence(ColdEvidence.RETURNED)
+        )
         gate = AdmissionGate(
             self._scheduler, backend, self._clock, self._recorder, random.Random()
         )
@@ -239,7 +246,7 @@
         if self._edge is None:
             return
         shutdown = GracefulShutdown(
-            self._edge,
+            self._edge.flows,
             self._draining,
             self._clock,
             self._recorder,
@@ -251,18 +258,13 @@
 
     def _flow_count(self) -> int:
         """Return the number of open flows."""
-        return self._edge.flow_count if self._edge is not None else 0
+        return self._edge.flows.flow_count if self._edge is not None else 0
 
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
         admission = {} if self._scheduler is None else self._scheduler.figures()
-        moved = 0 if self._edge is None else self._edge.moved_flow_count
-        return {
-            "flows": float(self._flow_count()),
-            "flows_moved": float(moved),
-            **self._accounting.figures,
-            **admission,
-        }
+        edge = {} if self._edge is None else self._edge.figures
+        return {**edge, **self._accounting.figures, **admission}
 
 
 def _is_listed(configuration: Configuration, service: str, name: str) -> bool:
