--- a/measurements/datapath/packets.py
+++ b/measurements/datapath/packets.py
@@ -173,7 +173,7 @@
         Endpoint(*fleet_transport.get_extra_info("sockname")),
         forwarder,
         encapsulation,
-        fleet.send,
+        fleet_transport.sendto,
         PacketCounter(meter, "forwarded_packets", "service"),
         PacketCounter(meter, "dropped_packets"),
     )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -116,7 +116,7 @@
 
     async def _async_listen(self, guard: WakeGuard) -> None:
         """Open the sockets for packets."""
-        DatagramSocket(
+        to_companions = DatagramSocket(
             self._fleet_socket,
             self._settings.process.packets.socket_address,
             guard,
@@ -124,14 +124,16 @@
         in_force = await self._coordinator.async_wait_first()
         for listen in self._settings.listen:
             if in_force.service(listen.service) is not None:
-                await self._async_listen_for_service(listen, guard)
+                await self._async_listen_for_service(listen, to_companions, guard)
                 continue
-            task = asyncio.create_task(self._async_listen_later(listen, guard))
+            task = asyncio.create_task(
+                self._async_listen_later(listen, to_companions, guard)
+            )
             self._waiting.add(task)
             task.add_done_callback(self._waiting.discard)
 
     async def _async_listen_for_service(
-        self, listen: ListenAddress, guard: WakeGuard
+        self, listen: ListenAddress, to_companions: DatagramSocket, guard: WakeGuard
     ) -> None:
         """Open the socket of one service once the service is published."""
         configuration = await self._coordinator.async_wait_until(
@@ -144,7 +146,7 @@
             self._settings.process.packets,
             self._forwarder,
             self._encapsulation,
-            self._fleet_socket.send,
+            to_companions.sendto,
             self._forwarded,
             self._dropped,
         )
@@ -153,7 +155,7 @@
         self._fleet_socket.add_service(service.number, socket)
 
     async def _async_listen_later(
-        self, listen: ListenAddress, guard: WakeGuard
+        self, listen: ListenAddress, to_companions: DatagramSocket, guard: WakeGuard
     ) -> None:
         """Wait for a service that is not in the configuration in force."""
         _LOGGER.warning(
@@ -162,7 +164,7 @@
             listen.service,
             listen.address,
         )
-        await self._async_listen_for_service(listen, guard)
+        await self._async_listen_for_service(listen, to_companions, guard)
 
 
 async def async_run_balancer(settings: BalancerSettings, stop: asyncio.Event) -> None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/returns/fleet_socket.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/returns/fleet_socket.py
@@ -7,12 +7,11 @@
 
 from pomelotrail_balancer.forwarding import PacketCounter, ServiceSocket
 from pomelotrail_core.routing import Encapsulation
-from pomelotrail_core.routing.encapsulation import CallerAnswer
 from pomelotrail_core.routing.version_watch import VersionWatch
 
 
 class FleetSocket(asyncio.DatagramProtocol):
-    """Sends wrapped packets to companions and unwraps their answers."""
+    """Unwraps the answers of companions and returns them to callers."""
 
     def __init__(
         self, encapsulation: Encapsulation, versions: VersionWatch, meter: Meter
@@ -20,24 +19,14 @@
         """Accept answers that the fleet key authenticates."""
         self._versions = versions
         self._encapsulation = encapsulation
-        self._transport: asyncio.DatagramTransport | None = None
         self._services: dict[int, ServiceSocket] = {}
         self._returned = PacketCounter(meter, "returned_packets", "service")
         self._rejected = PacketCounter(meter, "rejected_packets")
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        self._transport = transport  # type: ignore[assignment]
-
     def add_service(self, service_number: int, service: ServiceSocket) -> None:
         """Return the answers of a service through its socket."""
         self._services[service_number] = service
 
-    def send(self, datagram: bytes, address: tuple[str, int]) -> None:
-        """Send a wrapped packet to a companion."""
-        if self._transport is not None:
-            self._transport.sendto(datagram, address)
-
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Check an answer and send it to its caller."""
         packet = self._encapsulation.open_answer(data)
@@ -45,19 +34,15 @@
             self._reject(data)
             return
         self._versions.see(packet.version, addr)
-        self._return(packet)
-
-    def _reject(self, data: bytes) -> None:
-        """Count a datagram that is not an answer of this fleet."""
-        match self._encapsulation.decode_returned(data):
-            case Err(error):
-                self._rejected.add(error.name.lower())
-
-    def _return(self, packet: CallerAnswer) -> None:
-        """Send one answer from the address of its service."""
         service = self._services.get(packet.service_number)
         if service is None:
             self._rejected.add("service")
             return
         service.send_to_caller(packet.payload, packet.caller)
         self._returned.counts[service.label] += 1
+
+    def _reject(self, data: bytes) -> None:
+        """Count a datagram that is not an answer of this fleet."""
+        match self._encapsulation.decode_returned(data):
+            case Err(error):
+                self._rejected.add(error.name.lower())
