--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -17,13 +17,15 @@
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
+from pomelotrail_core.membership.role import MemberRole
 from pomelotrail_core.metrics import Metric, Metrics, Reading, observe_gauge
 from pomelotrail_core.peers import ControlServer
 from pomelotrail_core.peers.status import StatusService
 from pomelotrail_core.process import announce_ready
+from pomelotrail_core.process_spread import ProcessSpread
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
-from pomelotrail_core.spread import PeerCheck, ProcessSpread
+from pomelotrail_core.spread import PeerCheck
 from pomelotrail_core.tickets import Executor, TicketMint, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.metrics import observe_process
@@ -32,6 +34,7 @@
 
 from .admission import AdaptiveLimit, AdmissionGate, Scheduler, TargetOrder
 from .admission.limit import ColdEvidence
+from .admission.metrics import observe_admission
 from .backend import BackendClient, open_backend_session
 from .draining import DrainingState
 from .draining.orders import call_on_return
@@ -83,7 +86,12 @@
         self._peers = GrpcPeers(settings.service, clock)
         self._once: Once | None = None
         self._spread = ProcessSpread(
-            process, self._coordinator, self._roster, clock, self._recorder
+            process,
+            self._coordinator,
+            self._roster,
+            clock,
+            self._recorder,
+            MemberRole.COMPANION,
         )
         self._control = ControlServer(
             process.control,
@@ -122,7 +130,7 @@
                 self._settings.backend_server, kept, self._clock, fresh
             )
             handler = self._handler(configuration, backend)
-            check = PeerCheck(self._spread, self._clock)
+            check = PeerCheck(self._spread.spreader, self._clock)
             guard = WakeGuard(self._clock, check, self._recorder)
             ticking = asyncio.create_task(guard.async_tick())
             self._open_edge(configuration, handler, guard)
@@ -202,6 +210,7 @@
         assert server is not None
         limit = AdaptiveLimit(server.slots, self._clock, self._recorder)
         self._scheduler = scheduler = Scheduler(limit, TargetOrder(), self._clock)
+        observe_admission(self._metrics.meter("admission"), scheduler)
         call_on_return(
             self._draining, lambda: scheduler.take_evidence(ColdEvidence.RETURNED)
         )
--- a/packages/pomelotrail-core/pomelotrail_core/spread/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/__init__.py
@@ -3,7 +3,6 @@
 from .grpc_network import GrpcNetwork
 from .network import PeerNetwork
 from .peer_check import PeerCheck
-from .process_spread import ProcessSpread
 from .service import SpreadService
 from .spreader import Spreader, VersionComparison
 
@@ -11,7 +10,6 @@
     "GrpcNetwork",
     "PeerCheck",
     "PeerNetwork",
-    "ProcessSpread",
     "SpreadService",
     "Spreader",
     "VersionComparison",
