One step relays the requests of a leaving companion

Cause: two pieces of code did the same: the step for a leaving backend server, which names the order as the cause of each relayed request, was not wired in, and the handler for run-once classes relayed by itself without a cause, so a relayed request on the time line did not lead back to the order. Ruled out: removing the step with its tests. Before: the step was dead code. The tests construct the step with a function instead of the state; no assertion changed.

--- a/packages/pomelotrail-companion/pomelotrail_companion/draining/leaving.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/leaving.py
@@ -1,5 +1,7 @@
 """Sends the new requests of a leaving backend server to another companion."""
 
+from collections.abc import Callable
+
 from pomelotrail_companion.requests import (
     Answer,
     Outcome,
@@ -13,7 +15,6 @@
 from pomelotrail_core.timeline import EventKind, Recorder
 
 from .const import RETRY_AFTER
-from .state import DrainingState
 
 
 class LeavingStep(RequestHandler):
@@ -26,26 +27,27 @@
 
     def __init__(
         self,
-        state: DrainingState,
+        is_leaving: Callable[[], bool],
         relay: RequestRelay,
         recorder: Recorder,
         next_handler: RequestHandler,
     ) -> None:
-        """Relay with ``relay`` while ``state`` takes nothing new."""
-        self._state = state
+        """Relay with ``relay`` while the backend server is leaving."""
+        self._is_leaving = is_leaving
         self._relay = relay
         self._recorder = recorder
         self._next = next_handler
 
     async def async_handle(self, request: Request) -> Answer:
         """Hand a request to the next step or to another companion."""
-        if self._state.takes_new_flows:
+        if not self._is_leaving():
             return await self._next.async_handle(request)
         self._recorder.record(
             EventKind.REQUEST_RELAYED,
             flow=request.flow,
             request=request.identifier,
             cause=self._recorder.latest(EventKind.DRAINING, EventKind.ZONE_OUT),
+            detail="leaving",
         )
         return await self._relay.async_relay(request)
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/draining/tests/test_causes.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/tests/test_causes.py
@@ -32,7 +32,12 @@
         """A request that another companion runs names why it was handed over."""
         self.draining.stop()
         order = self.recorder.latest(EventKind.DRAINING)
-        step = LeavingStep(self.draining, NoRelay(), self.recorder, mock.Mock())
+        step = LeavingStep(
+            lambda: not self.draining.takes_new_flows,
+            NoRelay(),
+            self.recorder,
+            mock.Mock(),
+        )
         request = Request("f1-0", "f1", "GET", "/board", (), async_pieces())
         await step.async_handle(request)
         event = self.recorder.events[-1]
--- a/packages/pomelotrail-companion/pomelotrail_companion/draining/tests/test_leaving.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/draining/tests/test_leaving.py
@@ -53,8 +53,12 @@
         self.state = DrainingState("ledger-1", "veraval", recorder)
         self.state.configure(configuration(servers=(backend_server(1),)))
         self.local, self.relay = _Local(), _FakeRelay()
-        self.step = LeavingStep(self.state, self.relay, recorder, self.local)
-        self.refusing = LeavingStep(self.state, NoRelay(), recorder, self.local)
+        self.step = LeavingStep(self.is_leaving, self.relay, recorder, self.local)
+        self.refusing = LeavingStep(self.is_leaving, NoRelay(), recorder, self.local)
+
+    def is_leaving(self) -> bool:
+        """Tell whether the order to leave is in force."""
+        return not self.state.takes_new_flows
 
     def order_out(self) -> None:
         """Publish that the backend server leaves."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/ledger/once.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/ledger/once.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from pomelotrail_companion.draining.leaving import LeavingStep
 from pomelotrail_companion.requests import RequestHandler
 from pomelotrail_companion.requests.retry import RetryBudget, RetryStep
 from pomelotrail_core.clock import Clock
@@ -51,6 +52,7 @@
         )
         delegation = Delegation(ledger, resolver, peers, service_peers, recorder)
         relay = CompanionRelay(peers, service_peers, recorder)
+        others = RetryStep(next_handler, relay, RetryBudget(), clock)
         handler = OnceHandler(
             mint,
             sealer,
@@ -58,9 +60,8 @@
             executions,
             resolver,
             delegation,
-            relay,
             is_leaving,
-            RetryStep(next_handler, relay, RetryBudget(), clock),
+            LeavingStep(is_leaving, relay, recorder, others),
             clock,
         )
         return cls(ledger, executions, resolver, relay, handler)
--- a/packages/pomelotrail-companion/pomelotrail_companion/ledger/once_handler.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/ledger/once_handler.py
@@ -12,7 +12,6 @@
     Refusal,
     Request,
     RequestHandler,
-    RequestRelay,
     refuse,
 )
 from pomelotrail_companion.requests.refusals import RefusalKind
@@ -32,8 +31,8 @@
 class OnceHandler(RequestHandler):
     """Runs a request only as the executor that its ticket names.
 
-    Requests of other classes pass; those of a leaving companion are relayed.
-    Every answer offers fresh tickets.
+    Requests of other classes go to the step named ``others``. Every answer
+    offers fresh tickets, unless the companion is leaving.
     """
 
     def __init__(
@@ -44,9 +43,8 @@
         executions: Executions,
         resolver: TicketResolver,
         delegation: Delegation,
-        relay: RequestRelay,
         is_leaving: Callable[[], bool],
-        next_handler: RequestHandler,
+        others: RequestHandler,
         clock: Clock,
     ) -> None:
         """Run requests of own tickets by ``executions``, others by the rest."""
@@ -56,9 +54,8 @@
         self._executions = executions
         self._resolver = resolver
         self._delegation = delegation
-        self._relay = relay
         self._is_leaving = is_leaving
-        self._next = next_handler
+        self._others = others
         self._clock = clock
         self._offers = TicketOffers(mint)
 
@@ -68,10 +65,8 @@
         if request.request_class.run_once:
             answer = await self._async_run_once(request)
             answer = self._offers.offer_retry(answer)
-        elif self._is_leaving():
-            return await self._relay.async_relay(request)
         else:
-            answer = await self._next.async_handle(request)
+            answer = await self._others.async_handle(request)
         return answer if self._is_leaving() else self._offers.offer(answer)
 
     async def _async_run_once(self, request: Request) -> Answer:
