--- /dev/null
+++ b/harness/fake_backend_servers.py
@@ -0,0 +1,76 @@
+"""Backend servers of one service in memory, whose requests end as a test says."""
+
+import asyncio
+import enum
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from pomelotrail_companion.requests import (
+    Answer,
+    Outcome,
+    Refusal,
+    Request,
+    RequestHandler,
+    refuse,
+)
+from pomelotrail_companion.requests.messages import async_pieces
+from pomelotrail_companion.requests.refusals import RefusalKind
+
+ATTEMPT_HEADER: Final = "x-attempt"
+
+
+class Ending(enum.Enum):
+    """How a backend server ends a request."""
+
+    WHOLE = "whole"
+    SHED = "shed"
+    BROKEN = "broken"
+
+
+@attrs.define
+class Execution:
+    """One execution at a backend server, which ends when the test says so."""
+
+    name: str
+    attempt: str
+    ending: asyncio.Future[Ending]
+
+
+class FakeBackendServers(RequestHandler):
+    """Every backend server of a service; records what really ran."""
+
+    def __init__(self, decide: Callable[[], Ending | None]) -> None:
+        """Ask ``decide`` for the ending of a request; None leaves it running."""
+        self._decide = decide
+        self.executions: list[Execution] = []
+        self.running: list[Execution] = []
+
+    def count(self, name: str) -> int:
+        """Return how often a request ran."""
+        return sum(each.name == name for each in self.executions)
+
+    async def async_handle(self, request: Request) -> Answer:
+        """Run one request."""
+        name = b"".join([piece async for piece in request.body]).decode()
+        request.contact.begin()
+        decided = self._decide()
+        if decided is Ending.SHED:
+            request.contact.record_not_run()
+            return refuse(Refusal(RefusalKind.SHED, Outcome.NOT_RUN))
+        attempt = request.header(ATTEMPT_HEADER) or ""
+        ending = asyncio.get_running_loop().create_future()
+        execution = Execution(name, attempt, ending)
+        self.executions.append(execution)
+        if decided is None:
+            self.running.append(execution)
+            decided = await ending
+        if decided is Ending.BROKEN:
+            return refuse(Refusal(RefusalKind.BACKEND_FAILED, Outcome.UNKNOWN))
+        return Answer(200, (), async_pieces(answer_body(name)))
+
+
+def answer_body(name: str) -> bytes:
+    """Return the whole answer to the request of that name."""
+    return f"entry {name} is in the ledger".encode()
--- a/measurements/once.py
+++ b/measurements/once.py
@@ -15,14 +15,9 @@
 
 import attrs
 
+from harness.fake_backend_servers import Ending, answer_body
 from harness.fake_clock import FakeClock, async_settle
-from harness.fake_companions import (
-    Ending,
-    FakeCompanion,
-    FakeNetwork,
-    Fate,
-    answer_body,
-)
+from harness.fake_companions import FakeCompanion, FakeNetwork, Fate
 from measurements.interface import Figures, MeasurementOptions
 from pomelotrail_companion.ledger.const import TICKET_HEADER
 from pomelotrail_companion.requests import Answer, Outcome, Request, RequestHandler
--- a/packages/pomelotrail-companion/pomelotrail_companion/ledger/tests/test_faults.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/ledger/tests/test_faults.py
@@ -5,14 +5,9 @@
 import unittest
 from datetime import timedelta
 
+from harness.fake_backend_servers import Ending, answer_body
 from harness.fake_clock import FakeClock, async_settle
-from harness.fake_companions import (
-    Ending,
-    FakeCompanion,
-    FakeNetwork,
-    Fate,
-    answer_body,
-)
+from harness.fake_companions import FakeCompanion, FakeNetwork, Fate
 from pomelotrail_companion.ledger.const import (
     OFFERED_TICKETS,
     OFFERED_TICKETS_HEADER,
--- a/packages/pomelotrail-companion/pomelotrail_companion/ledger/tests/test_once_machine.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/ledger/tests/test_once_machine.py
@@ -21,14 +21,9 @@
     rule,
 )
 
+from harness.fake_backend_servers import Ending, answer_body
 from harness.fake_clock import FakeClock, async_settle
-from harness.fake_companions import (
-    Ending,
-    FakeCompanion,
-    FakeNetwork,
-    Fate,
-    answer_body,
-)
+from harness.fake_companions import FakeCompanion, FakeNetwork, Fate
 from pomelotrail_companion.ledger import LedgerLimits
 from pomelotrail_companion.ledger.const import TICKET_HEADER
 from pomelotrail_companion.requests import Answer, Outcome
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/tests/scenarios.py
@@ -0,0 +1,38 @@
+"""Runs scenarios with a fleet of fakes in virtual time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from harness.virtual_time import run_in_virtual_time
+from pomelotrail_core.spread.const import RETRY_MAX, SILENCE
+
+from .fakes import FakeFleet
+
+IN_FORCE_SECONDS: Final = 3.0
+CONTROL_BYTES_PER_S: Final = 3_000
+# A parent is left when it is silent, then a few candidates are tried in turn.
+HEAL_SECONDS: Final = (SILENCE + 8 * RETRY_MAX).total_seconds()
+SERVERS: Final = 100
+FEW_SERVERS: Final = 20
+BALANCERS: Final = 20
+ZONES: Final = 5
+
+Scenario = Callable[[FakeFleet], Awaitable[None]]
+
+
+def run_fleet(scenario: Scenario, servers: int = SERVERS) -> None:
+    """Run a scenario with a fleet that has version 1 in force."""
+
+    async def _async_main() -> None:
+        fleet = FakeFleet(servers, BALANCERS, ZONES)
+        fleet.publish()
+        fleet.start()
+        try:
+            await fleet.async_wait_for(1, HEAL_SECONDS)
+            await asyncio.sleep(SILENCE.total_seconds())
+            await scenario(fleet)
+        finally:
+            await fleet.async_stop()
+
+    run_in_virtual_time(_async_main())
--- a/packages/pomelotrail-core/pomelotrail_core/spread/tests/test_spread.py
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/tests/test_spread.py
@@ -2,55 +2,25 @@
 
 import asyncio
 import unittest
-from collections.abc import Awaitable, Callable
-from typing import Final
 
-from hypothesis import given, settings
-from hypothesis import strategies as st
-
-from harness.virtual_time import run_in_virtual_time
-from pomelotrail_core.configuration.delta import compress
 from pomelotrail_core.configuration.source import Document
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.spread.const import (
     BEAT,
-    MAX_CHILDREN,
     RETRY_MAX,
     SILENCE,
-    STALE_AFTER,
     VIEW_EXPIRY,
 )
-from pomelotrail_core.spread.spread_pb2 import SpreadMessage, SuspicionView
-
-from .fakes import CONNECTION_BYTES, FakeFleet, Peer
-
-IN_FORCE_SECONDS: Final = 3.0
-CONTROL_BYTES_PER_S: Final = 3_000
-# A parent is left when it is silent, then a few candidates are tried in turn.
-HEAL_SECONDS: Final = (SILENCE + 8 * RETRY_MAX).total_seconds()
-SERVERS: Final = 100
-FEW_SERVERS: Final = 20
-BALANCERS: Final = 20
-ZONES: Final = 5
-
-Scenario = Callable[[FakeFleet], Awaitable[None]]
-
-
-def run_fleet(scenario: Scenario, servers: int = SERVERS) -> None:
-    """Run a scenario with a fleet that has version 1 in force."""
-
-    async def _async_main() -> None:
-        fleet = FakeFleet(servers, BALANCERS, ZONES)
-        fleet.publish()
-        fleet.start()
-        try:
-            await fleet.async_wait_for(1, HEAL_SECONDS)
-            await asyncio.sleep(SILENCE.total_seconds())
-            await scenario(fleet)
-        finally:
-            await fleet.async_stop()
-
-    run_in_virtual_time(_async_main())
+from pomelotrail_core.spread.spread_pb2 import SuspicionView
+
+from .fakes import FakeFleet
+from .scenarios import (
+    CONTROL_BYTES_PER_S,
+    FEW_SERVERS,
+    IN_FORCE_SECONDS,
+    ZONES,
+    run_fleet,
+)
 
 
 class SpreadTest(unittest.TestCase):
@@ -274,142 +244,3 @@
                 self.assertIsNone(peer.spreader.views.current)
 
         run_fleet(_async_scenario, FEW_SERVERS)
-
-
-class LyingParentTest(unittest.TestCase):
-    """Parents that are wrong delay nobody and convince nobody."""
-
-    def check(self, lie: Callable[[SpreadMessage], SpreadMessage]) -> None:
-        """Make the first readers' children's parents lie, then publish."""
-
-        async def _async_scenario(fleet: FakeFleet) -> None:
-            liars: list[Peer] = []
-            for zone in fleet.zones:
-                liars.append(fleet.by_name(fleet.tree().readers(zone)[0].name))
-            for liar in liars:
-                liar.lie = lie
-            version = fleet.publish()
-            await fleet.async_wait_for(version, HEAL_SECONDS)
-            await asyncio.sleep(30)
-            self.assertEqual(fleet.reverts(), 0)
-            self.assertTrue(all(p.coordinator.version == 2 for p in fleet.honest))
-            texts = {p.coordinator.document.text for p in fleet.honest}
-            self.assertEqual(texts, {fleet.service.published[-1].text})
-
-        run_fleet(_async_scenario, FEW_SERVERS * 2)
-
-    def test_higher_version_that_is_not_there(self) -> None:
-        """A version that nobody can give is never in force."""
-
-        def lie(message: SpreadMessage) -> SpreadMessage:
-            message.version = 999
-            message.digest = b"x" * 16
-            return message
-
-        self.check(lie)
-
-    def test_broken_document(self) -> None:
-        """A document that can't be used is never in force."""
-
-        def lie(message: SpreadMessage) -> SpreadMessage:
-            message.version = 999
-            message.ClearField("delta")
-            message.document = compress("version: 999\nzones: []\n")
-            return message
-
-        self.check(lie)
-
-    def test_broken_delta(self) -> None:
-        """A delta that gives another document is not taken."""
-
-        def lie(message: SpreadMessage) -> SpreadMessage:
-            if message.delta:
-                message.delta = message.delta[:-1]
-            return message
-
-        self.check(lie)
-
-    def test_older_version(self) -> None:
-        """A parent that stays behind holds nobody back."""
-
-        def lie(message: SpreadMessage) -> SpreadMessage:
-            message.version = 1
-            message.ClearField("delta")
-            message.ClearField("digest")
-            return message
-
-        self.check(lie)
-
-
-_FAULTS: Final = st.sampled_from(
-    [
-        "publish",
-        "cut zone",
-        "cut all",
-        "heal",
-        "crash",
-        "restart",
-        "service down",
-        "service up",
-        "service stale",
-        "wait",
-    ]
-)
-
-
-class FaultsTest(unittest.TestCase):
-    """Whatever fails, nothing reverts, and everybody converges in the end."""
-
-    @settings(max_examples=8)
-    @given(st.lists(st.tuples(_FAULTS, st.integers(0, 1000)), max_size=12))
-    def test_any_order_of_faults(self, faults: list[tuple[str, int]]) -> None:
-        """After the last heal every peer has the published document."""
-
-        async def _async_scenario(fleet: FakeFleet) -> None:
-            start = asyncio.get_running_loop().time()
-            for peer in fleet.peers.values():
-                peer.sent_bytes = peer.received_bytes = 0
-            for fault, number in faults:
-                _inject(fleet, fault, number)
-                await asyncio.sleep(number / 100)
-            fleet.heal()
-            fleet.service.is_down = False
-            version = fleet.publish()
-            await fleet.async_wait_for(version, HEAL_SECONDS)
-            await asyncio.sleep(STALE_AFTER.total_seconds())
-            await fleet.async_wait_for(fleet.publish(), IN_FORCE_SECONDS)
-            self.assertEqual(fleet.reverts(), 0)
-            texts = {p.coordinator.document.text for p in fleet.honest}
-            self.assertEqual(texts, {fleet.service.published[-1].text})
-            seconds = asyncio.get_running_loop().time() - start
-            busiest = max(p.sent_bytes + p.received_bytes for p in fleet.honest)
-            # Each fault may make every child of a peer connect again.
-            reconnects = len(faults) * MAX_CHILDREN * CONNECTION_BYTES
-            budget = CONTROL_BYTES_PER_S * seconds + reconnects
-            self.assertLessEqual(busiest, budget)
-
-        run_fleet(_async_scenario, FEW_SERVERS * 2)
-
-
-def _inject(fleet: FakeFleet, fault: str, number: int) -> None:
-    """Bring about one fault."""
-    zone = fleet.zones[number % ZONES]
-    peer = list(fleet.peers.values())[number % len(fleet.peers)]
-    match fault:
-        case "publish":
-            fleet.publish()
-        case "cut zone":
-            fleet.cut(lambda one, other: (one == zone) != (other == zone))
-        case "cut all":
-            fleet.cut(lambda one, other: True)
-        case "heal":
-            fleet.heal()
-        case "crash":
-            fleet.crash(peer)
-        case "restart":
-            fleet.start()
-        case "service down" | "service up":
-            fleet.service.is_down = fault == "service down"
-        case "service stale":
-            published = fleet.service.published
-            fleet.service.show(published[number % len(published)])
