An announced cold start is heard from the backend server's health endpoint

Cause: the kind of evidence was there but nothing read the endpoint, so an announced cold start was only noticed by a shed, a failure or a slow answer. Ruled out: taking each report of cold as evidence, since the endpoint lags and may be wrong: it would hold the limit at 1 for as long as it is wrong. Before: no call to the endpoint. After: a report of cold counts once, when it begins; a report of warm raises nothing.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -298,6 +298,7 @@
             **self._process_settings(place),
             "service": place.service,
             "backend_server": str(place.backend_server),
+            "health_path": "/health",
             "certificate": str(self._certificate),
             "private_key": str(self._private_key),
         }
--- a/packages/pomelotrail-companion/pomelotrail_companion/backend/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/backend/const.py
@@ -28,3 +28,5 @@
 AUTOMATIC_HEADERS: Final = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 NO_BODY_STATUSES: Final = frozenset({204, 304})
 PIECE_BYTES: Final = 65_536
+HEALTH_INTERVAL: Final = timedelta(seconds=1)
+HEALTH_TIMEOUT: Final = timedelta(seconds=1)
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -43,6 +43,7 @@
 from .admission.limit import ColdEvidence
 from .admission.metrics import observe_admission
 from .backend import BackendClient, open_backend_session
+from .backend.health import HealthWatch, HttpHealth
 from .draining import DrainingState
 from .draining.orders import call_on_return
 from .draining.shutdown import GracefulShutdown
@@ -145,12 +146,14 @@
             guard = WakeGuard(self._clock, check, self._recorder)
             ticking = asyncio.create_task(guard.async_tick())
             exchanging = asyncio.create_task(self._exchange.async_run())
+            watching = asyncio.create_task(self._async_watch_health(session))
             self._open_edge(configuration, handler, guard)
             announce_ready(process.name)
             await stop.wait()
             await self._async_leave()
             ticking.cancel()
             exchanging.cancel()
+            watching.cancel()
             following.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await following
@@ -213,6 +216,19 @@
             )
         )
 
+    async def _async_watch_health(self, session: aiohttp.ClientSession) -> None:
+        """Take announced cold starts as evidence, if the server reports them."""
+        path, scheduler = self._settings.health_path, self._scheduler
+        if path is None or scheduler is None:
+            return
+        health = HttpHealth(f"http://{self._settings.backend_server}{path}", session)
+        watch = HealthWatch(
+            health,
+            self._clock,
+            lambda: scheduler.take_evidence(ColdEvidence.REPORTED),
+        )
+        await watch.async_run()
+
     def _newer_version_seen(self, version: int, sender: Endpoint) -> None:
         """Ask for a version which this process has missed."""
         _LOGGER.info("Version %d is in force at %s", version, sender)
--- a/packages/pomelotrail-companion/pomelotrail_companion/settings.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/settings.py
@@ -26,6 +26,7 @@
         vol.Required("certificate"): str,
         vol.Required("private_key"): str,
         vol.Optional("drain_limit"): duration,
+        vol.Optional("health_path"): vol.All(str, vol.Match(r"^/")),
     }
 )
 
@@ -37,7 +38,8 @@
     ``backend_server`` is where the server beside it listens for HTTP/1.1;
     certificate and private key are PEM files that callers see.
     ``drain_limit`` is how long a shutdown waits for running requests; None
-    waits for all of them.
+    waits for all of them. ``health_path`` is where the backend server reports
+    whether it is warm; None when it does not.
     """
 
     process: ProcessSettings
@@ -46,6 +48,7 @@
     certificate: Path
     private_key: Path
     drain_limit: timedelta | None
+    health_path: str | None
 
 
 def read_companion_settings(path: Path) -> Result[CompanionSettings, SettingsError]:
@@ -62,4 +65,5 @@
         certificate=Path(document["certificate"]),
         private_key=Path(document["private_key"]),
         drain_limit=document.get("drain_limit"),
+        health_path=document.get("health_path"),
     )
