--- a/measurements/zone/__init__.py
+++ b/measurements/zone/__init__.py
@@ -99,6 +99,7 @@
     changing = [out, back]
     return {
         "within_target": _share(changing),
+        "baseline": _share([before]),
         "baseline_within_target": _share([before]),
         "within_target_zone_out": _share([out]),
         "within_target_zone_back": _share([back]),
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/gate.py
@@ -18,7 +18,6 @@
 )
 from pomelotrail_companion.requests.refusals import OUTCOME_HEADER, RefusalKind
 from pomelotrail_core.clock import Clock
-from pomelotrail_core.timeline import Recorder
 
 from .class_state import ScheduledRequest
 from .const import MIN_RETRY_AFTER, RETRY_JITTER, SHED_FOR_DEADLINE, SHED_HEADER
@@ -44,14 +43,12 @@
         scheduler: Scheduler,
         next_handler: RequestHandler,
         clock: Clock,
-        recorder: Recorder,
         rng: random.Random,
     ) -> None:
         """Admit requests to ``next_handler``; ``rng`` spreads the retries."""
         self._scheduler = scheduler
         self._next = next_handler
         self._clock = clock
-        self._recorder = recorder
         self._rng = rng
         self._stream_ends: set[asyncio.Task[None]] = set()
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/tests/builders.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/tests/builders.py
@@ -68,7 +68,7 @@
 ) -> AdmissionGate:
     """Return a gate with the order by targets, by default with five slots."""
     scheduler = Scheduler(limit or FixedLimit(5), TargetOrder(), clock)
-    return AdmissionGate(scheduler, backend, clock, recorder(clock), random.Random(1))
+    return AdmissionGate(scheduler, backend, clock, random.Random(1))
 
 
 def request(
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -248,9 +248,7 @@
         call_on_return(
             self._draining, lambda: scheduler.take_evidence(ColdEvidence.RETURNED)
         )
-        gate = AdmissionGate(
-            self._scheduler, backend, self._clock, self._recorder, random.Random()
-        )
+        gate = AdmissionGate(self._scheduler, backend, self._clock, random.Random())
         control = self._settings.process.control
         executor = Executor(control, self._incarnation, service.number)
         mint = TicketMint(executor, self._sealer, self._clock)
