A stopped fleet leaves no TLS behind in the process that started it

Cause: Fleet installs its certificates and sets the commands' variable for the whole process and never took them back, so tests of commands that ran after a fleet looked for certificates in a directory that was gone. It showed only in another order of modules: discovery follows the order of the file system, so a run elsewhere could have failed. Ruled out: fixing the order, which would hide the next leak.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -20,7 +20,7 @@
 from pomelotrail_core.command_line.const import TLS_DIRECTORY_VARIABLE
 from pomelotrail_core.configuration.const import VERSION_HEADER
 from pomelotrail_core.endpoint import Endpoint
-from pomelotrail_core.peers import install_security, load_security
+from pomelotrail_core.peers import PeerSecurity, install_security, load_security
 from pomelotrail_core.settings.tls_files import TlsFiles
 
 _LOOPBACK = "127.0.0.1"
@@ -138,6 +138,7 @@
         """Stop every process, the real programs first."""
         processes = list(reversed(self.processes.values()))
         await asyncio.gather(*(process.async_stop() for process in processes))
+        self._leave_fleet()
 
     async def async_publish(self) -> None:
         """Publish the document as the next version."""
@@ -181,6 +182,11 @@
         os.environ[TLS_DIRECTORY_VARIABLE] = str(directory)
         return files
 
+    def _leave_fleet(self) -> None:
+        """Let what runs later in this process use plain control connections."""
+        install_security(PeerSecurity())
+        os.environ.pop(TLS_DIRECTORY_VARIABLE, None)
+
     def _plan_companions(self) -> list[CompanionPlace]:
         """Spread the backend servers of every service over the zones."""
         zones = self.specification.zones
--- a/harness/tests/test_whole_path.py
+++ b/harness/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """The whole path with real processes on loopback."""
 
 import asyncio
+import os
 import tempfile
 import unittest
 from pathlib import Path
@@ -10,6 +11,9 @@
 from harness.fleet import Fleet
 from harness.process import ProcessFailed
 from harness.specification import KESAR_TIDEWATER
+from pomelotrail_core.command_line.const import TLS_DIRECTORY_VARIABLE
+from pomelotrail_core.peers import PeerSecurity
+from pomelotrail_core.peers.security import installed_security
 from stand_ins.caller import async_connect
 
 _SMALL = attrs.evolve(
@@ -67,6 +71,13 @@
             answer = await caller.async_request("GET", "/archive?bytes=1000")
             self.assertEqual(answer.status, 200)
 
+    async def test_stopped_fleet_leaves_nothing_behind(self) -> None:
+        """Tests that run later use plain control connections again."""
+        self.assertIn(TLS_DIRECTORY_VARIABLE, os.environ)
+        await self.fleet.async_stop()
+        self.assertNotIn(TLS_DIRECTORY_VARIABLE, os.environ)
+        self.assertEqual(installed_security(), PeerSecurity())
+
     async def test_wrong_settings_are_refused(self) -> None:
         """A wrong key in the settings stops the process with the remedy."""
         await self.fleet.async_start_platform()
