A flow that is passed on names both reasons that the router can't tell apart

Cause: the last wording named the share only, which is wrong for a companion that is full; test_full_companion_names_its_limit failed in the run of all tests from a fresh clone (331 passed, 1 failed). Ruled out: changing the test. After: the reason names room and share; the tests of causes and router pass.

--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/packet_router.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/packet_router.py
@@ -117,7 +117,7 @@
     def _record(self, kind: EventKind, flow: str, detail: str) -> None:
         """Record why this companion did not take a flow."""
         if self._draining.takes_new_flows:
-            reason = "it holds its share of flows"
+            reason = "it has no room or holds its share of flows"
             cause = self._events.latest(*_ROOM_KINDS)
         else:
             reason = f"it is {self._draining.state.value}"
