The fleet key can be rotated while the fleet serves

Cause: there was one fleet key, so processes with different keys dropped each other's packets and only a fleet that served nobody could change it. Now packets are sealed with fleet_key and checked with accepted_fleet_keys too, tried only when the first does not fit. The new test takes every pair of neighbouring steps, both ways, and sees that the first step no longer reaches the last; the parameter did not exist before. A whole fleet was not rotated.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -53,7 +53,9 @@
             lambda: self._coordinator.version,
         )
         self._roster = Roster()
-        self._encapsulation = Encapsulation(process.fleet_key)
+        self._encapsulation = Encapsulation(
+            process.fleet_key, process.accepted_fleet_keys
+        )
         self._forwarder = Forwarder(
             TokenReader(process.token_keys), self._roster, RendezvousRanking()
         )
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
@@ -70,7 +70,7 @@
     drops = Drops(context.meter, events)
     packet_socket = PacketSocket(
         context.token.service_number,
-        Encapsulation(process.fleet_key),
+        Encapsulation(process.fleet_key, process.accepted_fleet_keys),
         context.own_version,
         context.versions,
         drops,
--- a/packages/pomelotrail-core/pomelotrail_core/routing/authenticator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/authenticator.py
@@ -7,6 +7,7 @@
 
 import itertools
 import os
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from cryptography.exceptions import InvalidTag
@@ -15,17 +16,20 @@
 from .const import NONCE_BYTES, NONCE_PREFIX_BYTES, TAG_BYTES
 
 TRAILER_BYTES: Final = NONCE_BYTES + TAG_BYTES
+Decrypt = Callable[[bytes, bytes, bytes], bytes]
+
 _COUNT_BYTES: Final = NONCE_BYTES - NONCE_PREFIX_BYTES
 
 
 class Authenticator:
     """Puts nonce and tag after datagrams, and checks them."""
 
-    def __init__(self, key: bytes) -> None:
-        """Authenticate with a key of 32 bytes."""
+    def __init__(self, key: bytes, accepted: Sequence[bytes] = ()) -> None:
+        """Authenticate with a key of 32 bytes; ``accepted`` keys only check."""
         cipher = AESGCM(key)
         self._encrypt = cipher.encrypt
         self._decrypt = cipher.decrypt
+        self._accepted = [AESGCM(each).decrypt for each in accepted]
         self._count = itertools.count(_first_count())
 
     def seal(self, body: bytes) -> bytes:
@@ -37,13 +41,23 @@
         """Tell whether a process with the key has sealed a datagram."""
         nonce = datagram[-TRAILER_BYTES:-TAG_BYTES]
         tag = datagram[-TAG_BYTES:]
+        body = datagram[:-TRAILER_BYTES]
         try:
-            self._decrypt(nonce, tag, datagram[:-TRAILER_BYTES])
+            self._decrypt(nonce, tag, body)
         except InvalidTag:
-            return False
+            return any(_is_valid(each, nonce, tag, body) for each in self._accepted)
         return True
 
 
+def _is_valid(decrypt: Decrypt, nonce: bytes, tag: bytes, body: bytes) -> bool:
+    """Tell whether a tag was made with the key of ``decrypt``."""
+    try:
+        decrypt(nonce, tag, body)
+    except InvalidTag:
+        return False
+    return True
+
+
 def _first_count() -> int:
     """Return the count from which the nonces of this process start."""
     prefix = int.from_bytes(os.urandom(NONCE_PREFIX_BYTES), "big")
--- a/packages/pomelotrail-core/pomelotrail_core/routing/encapsulation.py
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/encapsulation.py
@@ -7,6 +7,7 @@
 """
 
 import struct
+from collections.abc import Sequence
 from socket import inet_ntoa
 from typing import Final
 
@@ -72,11 +73,11 @@
 
 
 class Encapsulation:
-    """Encodes and decodes packets with one fleet key."""
+    """Encodes packets with one fleet key and decodes those of accepted ones."""
 
-    def __init__(self, fleet_key: bytes) -> None:
-        """Authenticate with ``fleet_key``."""
-        self._authenticator = Authenticator(fleet_key)
+    def __init__(self, fleet_key: bytes, accepted: Sequence[bytes] = ()) -> None:
+        """Authenticate with ``fleet_key``, and accept other keys as well."""
+        self._authenticator = Authenticator(fleet_key, accepted)
 
     def sealer(self, service_number: int, balancer: bytes) -> "ForwardedSealer":
         """Return what seals the packets of one service at one balancer."""
--- a/packages/pomelotrail-core/pomelotrail_core/routing/tests/test_encapsulation.py
+++ b/packages/pomelotrail-core/pomelotrail_core/routing/tests/test_encapsulation.py
@@ -1,5 +1,6 @@
 """Tests of the packets between balancers and companions."""
 
+import itertools
 import unittest
 
 import attrs
@@ -76,6 +77,19 @@
         self.assertTrue(codec.decode_forwarded(datagram).is_err())
         self.assertTrue(codec.decode_returned(datagram).is_err())
 
+    def test_rotation_of_the_fleet_key(self) -> None:
+        """At each step processes before and after it take each other's packets."""
+        old, new = FLEET_KEY, bytes(range(1, 33))
+        steps = [(old, ()), (old, (new,)), (new, (old,)), (new, ())]
+        codecs = [Encapsulation(key, accepted) for key, accepted in steps]
+        for before, after in itertools.pairwise(codecs):
+            for sender, receiver in ((before, after), (after, before)):
+                datagram = sender.encode_forwarded(_FORWARDED)
+                opened = receiver.decode_forwarded(datagram)
+                self.assertEqual(opened.unwrap(), _FORWARDED)
+        datagram = codecs[0].encode_forwarded(_FORWARDED)
+        self.assertTrue(codecs[3].decode_forwarded(datagram).is_err())
+
     def test_another_fleet_key(self) -> None:
         """A stranger's packet fails the MAC."""
         datagram = Encapsulation(bytes(32)).encode_forwarded(_FORWARDED)
--- a/packages/pomelotrail-core/pomelotrail_core/settings/process_settings.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/process_settings.py
@@ -39,6 +39,7 @@
     vol.Optional("peers", default=[]): [endpoint],
     vol.Optional("tls"): TLS_SCHEMA,
     vol.Required("fleet_key"): hex_key(FLEET_KEY_BYTES),
+    vol.Optional("accepted_fleet_keys", default=list): [hex_key(FLEET_KEY_BYTES)],
     vol.Required("token_keys"): vol.All([_TOKEN_KEY], vol.Length(min=1)),
     vol.Optional("log_level", default="info"): vol.In(
         ["debug", "info", "warning", "error"]
@@ -52,7 +53,8 @@
     """Who this process is and how it reaches the fleet.
 
     ``packets`` is the UDP address for encapsulated packets, ``control`` the
-    address of the grpclib server. The first token key seals new tokens.
+    address of the grpclib server. The first token key seals new tokens; packets are
+    authenticated with ``fleet_key`` and checked with the accepted ones too.
     ``peers`` are control addresses that a new process asks beside the service.
     """
 
@@ -63,6 +65,7 @@
     metrics: Endpoint | None
     configuration_service: str
     fleet_key: bytes = attrs.field(repr=False)
+    accepted_fleet_keys: tuple[bytes, ...] = attrs.field(repr=False)
     token_keys: TokenKeys = attrs.field(repr=False)
     log_level: str
     peers: tuple[Endpoint, ...] = ()
@@ -92,6 +95,7 @@
         metrics=document.get("metrics"),
         configuration_service=document["configuration_service"],
         fleet_key=document["fleet_key"],
+        accepted_fleet_keys=tuple(document["accepted_fleet_keys"]),
         token_keys=TokenKeys(document["token_keys"][0]["generation"], keys),
         log_level=document["log_level"],
         peers=tuple(document["peers"]),
