--- a/harness/fake_companions.py
+++ b/harness/fake_companions.py
@@ -176,7 +176,7 @@
         self._cuts: set[frozenset[Endpoint]] = set()
         endpoints = [Endpoint(f"192.0.2.{number + 1}", 7001) for number in range(size)]
         recorder = Recorder("configuration", "veraval", clock)
-        self.coordinator = ConfigurationCoordinator(clock, recorder, rng)
+        self.coordinator = ConfigurationCoordinator(recorder)
         text = _document(endpoints, deadline)
         assert self.coordinator.offer(Document(1, text), "test")
         self.companions = [FakeCompanion(self, each) for each in endpoints]
--- a/harness/spread_fleet.py
+++ b/harness/spread_fleet.py
@@ -179,7 +179,7 @@
         name, zone = entry["name"], entry["zone"]
         rng = random.Random(self._rng.random())
         recorder = Recorder(name, zone, clock, size=16)
-        coordinator = ConfigurationCoordinator(clock, recorder, rng, self._parser)
+        coordinator = ConfigurationCoordinator(recorder, self._parser)
         source = ServiceSource(
             f"http://{self._service}/v1/configuration", lambda: coordinator.document
         )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import random
 
 import aiohttp
 
@@ -44,9 +43,7 @@
         process = settings.process
         self._recorder = Recorder(process.name, process.zone, clock)
         self._metrics = Metrics(process.name, process.zone)
-        self._coordinator = ConfigurationCoordinator(
-            clock, self._recorder, random.Random()
-        )
+        self._coordinator = ConfigurationCoordinator(self._recorder)
         observe_process(
             self._metrics.meter("process"),
             self._recorder,
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -70,9 +70,7 @@
         self._incarnation = secrets.randbits(_INCARNATION_BITS)
         self._recorder = Recorder(process.name, process.zone, clock)
         self._metrics = Metrics(process.name, process.zone)
-        self._coordinator = ConfigurationCoordinator(
-            clock, self._recorder, random.Random()
-        )
+        self._coordinator = ConfigurationCoordinator(self._recorder)
         self._accounting = RequestAccounting(self._metrics.meter("requests"))
         self._draining = DrainingState(process.name, process.zone, self._recorder)
         observe_process(
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/__init__.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/__init__.py
@@ -2,7 +2,7 @@
 
 from .caller_edge import CallerEdge
 from .drops import Drops
-from .flow_admission import ConnectionLimit, FlowAdmission
+from .flow_admission import FlowAdmission
 from .packet_router import PacketRouter
 from .packet_socket import PacketSocket
 from .pass_on import PassOn
@@ -10,7 +10,6 @@
 
 __all__ = [
     "CallerEdge",
-    "ConnectionLimit",
     "Drops",
     "FlowAdmission",
     "PacketRouter",
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/flow_admission.py
@@ -14,15 +14,3 @@
         ``candidates`` are the packed addresses of the companions to which it
         could be passed on; without any, "no" is a refusal.
         """
-
-
-class ConnectionLimit(FlowAdmission):
-    """Takes flows up to the connections that the backend server can hold."""
-
-    def __init__(self, connections: int) -> None:
-        """Take at most ``connections`` flows."""
-        self._connections = connections
-
-    def has_room(self, flow_count: int, candidates: Sequence[bytes]) -> bool:
-        """Tell whether there are fewer flows than connections."""
-        return flow_count < self._connections
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/const.py
@@ -10,8 +10,6 @@
 MAX_SERVICE_NUMBER: Final = 65_535
 LONG_POLL: Final = timedelta(seconds=10)
 SERVICE_TIMEOUT: Final = timedelta(seconds=5)
-SERVICE_RETRY_MIN: Final = timedelta(milliseconds=500)
-SERVICE_RETRY_MAX: Final = timedelta(seconds=30)
 DEFAULT_DEADLINE: Final = "30 s"
 DEFAULT_BODY_BYTES: Final = 8_388_608
 VERSION_HEADER: Final = "Configuration-Version"
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
@@ -1,20 +1,18 @@
 """The one owner of the configuration in force."""
 
 import asyncio
-import random
 from collections import OrderedDict
 from collections.abc import Callable
 
 from result import Err, Ok
 
-from pomelotrail_core.clock import Clock
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.timeline import EventKind, Recorder
 
-from .const import REFUSED_KEPT, SERVICE_RETRY_MAX, SERVICE_RETRY_MIN
+from .const import REFUSED_KEPT
 from .document import Configuration
 from .parser import ConfigurationParser
-from .source import ConfigurationSource, Document
+from .source import Document
 
 _LOGGER = get_logger("configuration")
 
@@ -30,16 +28,12 @@
 
     def __init__(
         self,
-        clock: Clock,
         recorder: Recorder,
-        rng: random.Random,
         parser: ConfigurationParser | None = None,
     ) -> None:
         """Start with no configuration in force."""
         self._parser = parser or ConfigurationParser()
-        self._clock = clock
         self._recorder = recorder
-        self._rng = rng
         self._current: Configuration | None = None
         self._document: Document | None = None
         self._refused: OrderedDict[bytes, int] = OrderedDict()
@@ -127,20 +121,3 @@
             listener(configuration)
         self._first.set()
         return True
-
-    async def async_follow(self, source: ConfigurationSource) -> None:
-        """Ask one source for ever newer versions; runs until cancelled."""
-        delay = SERVICE_RETRY_MIN
-        while True:
-            match await source.async_next(self.version):
-                case Ok(None):
-                    delay = SERVICE_RETRY_MIN
-                    continue
-                case Ok(document):
-                    if self.offer(document, source.name):
-                        delay = SERVICE_RETRY_MIN
-                        continue
-                case Err(error):
-                    _LOGGER.warning("%s", error)
-            await self._clock.async_sleep(delay * self._rng.uniform(0.5, 1.5))
-            delay = min(2 * delay, SERVICE_RETRY_MAX)
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/tests/test_coordinator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/tests/test_coordinator.py
@@ -1,6 +1,5 @@
 """Tests of what is in force."""
 
-import random
 import unittest
 
 from hypothesis import given
@@ -16,7 +15,7 @@
 def _coordinator() -> ConfigurationCoordinator:
     """Return a coordinator with nothing in force."""
     clock = FakeClock()
-    return ConfigurationCoordinator(clock, Recorder("p", "z", clock), random.Random(1))
+    return ConfigurationCoordinator(Recorder("p", "z", clock))
 
 
 class CoordinatorTest(unittest.TestCase):
--- a/packages/pomelotrail-core/pomelotrail_core/spread/tests/fakes.py
+++ b/packages/pomelotrail-core/pomelotrail_core/spread/tests/fakes.py
@@ -170,7 +170,7 @@
         """Make one peer; nothing runs yet."""
         rng = random.Random(self._rng.random())
         recorder = Recorder(name, zone, self.clock, size=16)
-        coordinator = ConfigurationCoordinator(self.clock, recorder, rng, self._parser)
+        coordinator = ConfigurationCoordinator(recorder, self._parser)
         spreader = Spreader(
             name,
             zone,
