Stop counting openings whose request is overdue

An opening now stops counting 250 ms after it was taken unless its request came.

Ruled out: slow backend servers (requests that were released took their usual time), requests counted twice (each flow once in the log).

The test replays 40 abandoned openings before two servers and failed before.

--- a/harness/tests/test_flow_admission.py
+++ b/harness/tests/test_flow_admission.py
@@ -28,6 +28,21 @@
 
         run_in_virtual_time(async_run())
 
+    def test_abandoned_openings_make_no_server_full(self) -> None:
+        """A quarter of a second later, servers look idle again and are."""
+
+        async def async_run() -> None:
+            """Open more flows than there is room for, and ask nothing."""
+            fleet = FlowFleet(servers=2, slots=1)
+            abandoned = [fleet.caller() for _ in range(40)]
+            await asyncio.gather(*(each.async_open() for each in abandoned))
+            await asyncio.sleep(0.3)
+            caller = fleet.caller()
+            self.assertEqual(await caller.async_request(b"one"), b"answer to one")
+            self.assertEqual(caller.copies, 0)
+
+        run_in_virtual_time(async_run())
+
     def test_cold_server_gets_what_it_bears(self) -> None:
         """Its budget holds over all balancers."""
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/const.py
@@ -5,6 +5,9 @@
 
 # Callers give up an opening after 1.4 s.
 OPENING_TIMEOUT: Final = timedelta(milliseconds=1_500)
+# Between zones, packets need 3 ms each way; callers send their request with the
+# handshake's last packet, or repeat a lost one after 200 ms.
+FIRST_REQUEST_TIMEOUT: Final = timedelta(milliseconds=250)
 # A backend server accepts a flow in 0.3 ms; only a slow or dead one needs more.
 SERVER_ANSWER_TIMEOUT: Final = timedelta(milliseconds=60)
 # The longest timeout of a request is 12 s; later its answer is worth nothing.
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
@@ -164,6 +164,7 @@
         while True:
             await self._clock.async_sleep(SWEEP_INTERVAL)
             now = self._clock.monotonic()
+            self._book.drop_unused_openings(now)
             self._book.sweep(now)
             self._release(now)
             self._ownership.sweep(now)
@@ -176,6 +177,7 @@
             return
         now = self._clock.monotonic()
         self._gate.set_slots(offer.slots)
+        self._book.drop_unused_openings(now)
         outcome = self._judge(offer, packet, now)
         if outcome is Outcome.ACCEPTED:
             self._take(offer, packet, balancer, now)
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
@@ -1,5 +1,6 @@
 """The flows of one backend server, and which of them wait for an answer."""
 
+from collections import deque
 from datetime import timedelta
 
 import msgspec
@@ -9,6 +10,7 @@
 
 from .const import (
     CLOSED_LINGER,
+    FIRST_REQUEST_TIMEOUT,
     IDLE_TIMEOUT,
     MAX_FLOWS,
     OPENING_TIMEOUT,
@@ -32,6 +34,7 @@
     used: timedelta
     asked: timedelta | None
     balancer: Address
+    opened: timedelta = timedelta()
     offer: int = 0
     priority: int = UNKNOWN_PRIORITY
     target: timedelta = UNKNOWN_TARGET
@@ -49,7 +52,7 @@
     A request is in progress from the caller's data until the first data that
     the backend server sends back; what the data says is never read. A flow that
     is about to open counts as a request already, since its first one follows
-    within a round trip::
+    within a round trip; if it doesn't, the caller has probably given up::
 
         booked = book.open(flow, balancer, offer, now)
         book.note_caller_data(booked, sequence, size, now)
@@ -59,6 +62,7 @@
     def __init__(self) -> None:
         """Start without flows."""
         self._flows: dict[bytes, BookedFlow] = {}
+        self._openings: deque[BookedFlow] = deque()
         self._asked = 0
         self._running = 0
 
@@ -90,11 +94,25 @@
     ) -> BookedFlow:
         """Add a flow whose opening is given to the backend server."""
         self.remove(flow)
-        booked = BookedFlow(flow, now, now, balancer, offer)
+        booked = BookedFlow(flow, now, now, balancer, now, offer)
         self._add(booked)
         self._asked += 1
+        self._openings.append(booked)
         return booked
 
+    def drop_unused_openings(self, now: timedelta) -> None:
+        """Stop counting flows whose first request is overdue.
+
+        Load pattern answered: after a power loss, openings arrive whose callers
+        have given up. Counted until they time out, they would make an idle
+        backend server look full.
+        """
+        openings = self._openings
+        while openings and now - openings[0].opened >= FIRST_REQUEST_TIMEOUT:
+            booked = openings.popleft()
+            if booked.caller_end is None:
+                self._end_request(booked)
+
     def learn(self, flow: bytes, now: timedelta) -> BookedFlow:
         """Add an open flow of which an earlier process of this companion knew."""
         booked = BookedFlow(flow, now, None, ("", 0), is_open=True)
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/tests/test_flow_book.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/tests/test_flow_book.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from pomelotrail_companion.doorway import FlowBook
-from pomelotrail_companion.doorway.const import RUNNING_TIMEOUT
+from pomelotrail_companion.doorway.const import FIRST_REQUEST_TIMEOUT, RUNNING_TIMEOUT
 
 _NOW = timedelta(seconds=5)
 
@@ -40,6 +40,22 @@
             self.book.note_caller_data(self.booked, start, 50, _NOW)
             self.assertEqual(self.book.occupancy, 0)
 
+    def test_opening_without_a_request(self) -> None:
+        """It stops counting soon, and counts again when a request comes."""
+        later = _NOW + FIRST_REQUEST_TIMEOUT
+        self.book.drop_unused_openings(later - timedelta(milliseconds=1))
+        self.assertEqual(self.book.occupancy, 1)
+        self.book.drop_unused_openings(later)
+        self.assertEqual(self.book.occupancy, 0)
+        self.book.note_caller_data(self.booked, 100, 50, later)
+        self.assertEqual(self.book.occupancy, 1)
+
+    def test_opening_with_a_request(self) -> None:
+        """Its request counts until it is answered."""
+        self.book.note_caller_data(self.booked, 100, 50, _NOW)
+        self.book.drop_unused_openings(_NOW + FIRST_REQUEST_TIMEOUT)
+        self.assertEqual(self.book.occupancy, 1)
+
     def test_next_request(self) -> None:
         """Further data begins the next one."""
         self.book.note_caller_data(self.booked, 100, 50, _NOW)
