Bind the sockets of callers before a role is loaded

Cause: a balancer loads for 135 ms of processor time, which is 0.3 to 1.2 s on the VMs of the sites. Openings that arrived meanwhile were lost, and callers send their copies only 200 and 600 ms after the first. Roles now bind the addresses that the platform passes to launch.py before they import anything else, and a balancer holds packets until its first list, for the 1.4 s that callers wait. Copies that were queued during the start are read at once; one that follows its flow's acceptance by less than 150 ms is not placed a second time.

Ruled out: a wait for readiness (a zone without a ready balancer uses all), the first list (10 to 20 ms after the start).

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -7,6 +7,7 @@
     answer = await fleet.caller().async_request(b"question")
 """
 
+import asyncio
 import random
 from datetime import timedelta
 from typing import Final
@@ -125,16 +126,21 @@
         self.callers = CallerHost(
             self.network, (CALLERS_HOST, PACKETS_PORT), self.entry
         )
+        self._tasks: list[asyncio.Task] = []
         self._balancers: dict[str, FlowBalancer] = {}
         self._directories: dict[str, Directory] = {}
         for index in range(balancers):
             self.start_balancer(f"192.0.2.{100 + index}")
         self._entry = next(iter(self._balancers))
 
-    def start_balancer(self, host: str) -> None:
-        """Start a balancer with an empty table, or replace one."""
+    def start_balancer(self, host: str, is_listed: bool = True) -> None:
+        """Start a balancer with an empty table, or replace one.
+
+        Its directory is empty until ``directory().replace`` if nothing is listed.
+        """
         directory = Directory(self.clock, self.log)
-        directory.replace(self.listing())
+        if is_listed:
+            directory.replace(self.listing())
         check = CompletenessCheck(self.source, directory, self.clock)
         balancer = FlowBalancer(
             directory,
@@ -151,6 +157,8 @@
         )
         self.network.listen((host, PACKETS_PORT), balancer.receive_packet)
         self.network.listen((host, FLEET_PORT), balancer.receive_message)
+        early = asyncio.create_task(balancer.async_serve_early_packets())
+        self._tasks.append(early)
         self._balancers[host] = balancer
         self._directories[host] = directory
         self._entry = host
--- a/harness/tests/test_flow_path.py
+++ b/harness/tests/test_flow_path.py
@@ -113,6 +113,60 @@
         run_in_virtual_time(async_run())
 
 
+class StartTest(unittest.TestCase):
+    """Packets that come while a balancer starts."""
+
+    def test_opening_before_the_first_list(self) -> None:
+        """It is placed as soon as there is a list, and needs no copy."""
+
+        async def async_run() -> None:
+            """List the servers 50 ms after the opening was sent."""
+            fleet = FlowFleet()
+            fleet.start_balancer("192.0.2.200", is_listed=False)
+            caller = fleet.caller()
+            opening = asyncio.create_task(caller.async_open())
+            await asyncio.sleep(0.05)
+            fleet.directory().replace(fleet.listing())
+            self.assertTrue(await opening)
+            self.assertEqual(caller.copies, 0)
+
+        run_in_virtual_time(async_run())
+
+    def test_old_packets_are_dropped(self) -> None:
+        """An opening that its caller has given up reaches no server."""
+
+        async def async_run() -> None:
+            """List the servers two seconds later."""
+            fleet = FlowFleet()
+            fleet.start_balancer("192.0.2.200", is_listed=False)
+            self.assertFalse(await fleet.caller().async_open())
+            await asyncio.sleep(2)
+            fleet.directory().replace(fleet.listing())
+            await asyncio.sleep(1)
+            self.assertFalse(any(s.openings for s in fleet.servers.values()))
+
+        run_in_virtual_time(async_run())
+
+    def test_copies_that_were_queued(self) -> None:
+        """The flow is opened at one server, not at one for each copy."""
+
+        async def async_run() -> None:
+            """Let a copy follow the opening after 100 ms."""
+            fleet = FlowFleet()
+            caller = fleet.caller()
+            await caller.async_open()
+            await asyncio.sleep(0.1)
+            copy = fleet.caller()
+            copy.use_address(caller.own)
+            opening = asyncio.create_task(copy.async_open())
+            await asyncio.sleep(0.05)
+            openings = [len(s.openings) for s in fleet.servers.values()]
+            self.assertEqual(sum(openings), 1)
+            opening.cancel()
+
+        run_in_virtual_time(async_run())
+
+
 class LookupTest(unittest.TestCase):
     """What it costs to find the owner of a flow."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -29,6 +29,7 @@
     MAX_HELD_PACKETS,
     PING_INTERVAL,
 )
+from .early_packets import EarlyPackets
 from .flow_table import FlowRecord, FlowTable
 from .message_budget import MessageBudget
 from .openings import Openings
@@ -74,6 +75,7 @@
         self._send_message = send_message
         self._flows = FlowTable()
         self._budget = MessageBudget(clock.monotonic())
+        self._early = EarlyPackets()
         self._ending: set[asyncio.Task] = set()
         self._openings = Openings(
             directory,
@@ -92,10 +94,11 @@
         if packet is None:
             self._counters.add("packets_malformed")
             return
+        now = self._clock.monotonic()
         if not self._directory.is_usable:
+            self._early.hold(data, sender, now)
             self._counters.add("packets_without_configuration")
             return
-        now = self._clock.monotonic()
         flow = packet.caller_flow
         record = self._flows.get(flow, now)
         if packet.opens:
@@ -129,6 +132,12 @@
             case _:
                 self._counters.add("messages_malformed")
 
+    async def async_serve_early_packets(self) -> None:
+        """Serve what came before the first configuration, once that is there."""
+        await self._directory.async_wait_until_usable()
+        for data, sender in self._early.take(self._clock.monotonic()):
+            self.receive_packet(data, sender)
+
     async def async_ping_suspects(self) -> None:
         """Ask suspected companions whether they are back, until cancelled."""
         while True:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
@@ -10,6 +10,8 @@
 # Offers for one copy of an opening: the preferred companions, some others, and
 # the shortest queues; each costs up to a round trip.
 MAX_OFFERS: Final = 14
+# Callers send the first copy of an opening after 200 ms.
+MIN_COPY_INTERVAL: Final = timedelta(milliseconds=150)
 # Companions answer a lookup in a few milliseconds; then all others are asked.
 LOOKUP_STAGE: Final = timedelta(milliseconds=15)
 # Messages of second stages in a second; each may lead to a packet of 300 bytes, so
@@ -24,3 +26,7 @@
 # A flow costs about 620 bytes; 20,000 of them are 12 MB.
 MAX_FLOWS: Final = 20_000
 PING_INTERVAL: Final = timedelta(milliseconds=200)
+# Callers give up an opening after 1.4 s; older packets serve nobody.
+EARLY_PACKET_LIFETIME: Final = timedelta(milliseconds=1_400)
+# Bounds the memory of a balancer without configuration to about 1 MB.
+MAX_EARLY_PACKETS: Final = 1_000
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/flow_table.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/flow_table.py
@@ -16,7 +16,8 @@
     """What this balancer knows of one flow.
 
     ``takers`` accepted its opening; ``owner`` is known once it is the only one
-    or has said so. ``held`` packets wait for the answer to a lookup.
+    or has said so; ``taken`` is when the last of them did. ``held`` packets wait
+    for the answer to a lookup.
     ``asked`` companions have not answered the lookup of ``sought`` yet, and
     ``unasked`` ones are asked if no owner is among them.
     """
@@ -25,6 +26,7 @@
     used: timedelta
     owner: CompanionView | None = None
     takers: list[CompanionView] = msgspec.field(default_factory=list)
+    taken: timedelta | None = None
     opening: asyncio.Task | None = None
     held: list[Packet] = msgspec.field(default_factory=list)
     asked: set[CompanionView] = msgspec.field(default_factory=set)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/openings.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/openings.py
@@ -23,7 +23,7 @@
 from pomelotrail_core.flows import Packet, flow_text
 from pomelotrail_core.offers import Offer, OfferReply, Outcome, encode
 
-from .const import MAX_OFFERS, OFFER_TIMEOUT, SERVER_ANSWER_TIMEOUT
+from .const import MAX_OFFERS, MIN_COPY_INTERVAL, OFFER_TIMEOUT, SERVER_ANSWER_TIMEOUT
 from .flow_table import FlowRecord
 
 _PART = "placement"
@@ -72,6 +72,9 @@
         """Place a flow, or a further copy of its opening packet."""
         if record.opening is not None and not record.opening.done():
             return
+        if self._is_queued_copy(record):
+            self._counters.add("copies_ignored")
+            return
         route = self._directory.route(packet.receiver)
         if route is None:
             self._reset(packet, "no_route")
@@ -88,6 +91,16 @@
         pending.companion.report(message.occupancy, message.flows, now)
         pending.replies.put_nowait(message)
 
+    def _is_queued_copy(self, record: FlowRecord) -> bool:
+        """Tell whether a copy follows too soon to say that a taker is silent.
+
+        Load pattern answered: after a start, all copies that a caller sent are read
+        at once. Placing each of them would open the flow at several servers.
+        """
+        if record.taken is None:
+            return False
+        return self._clock.monotonic() - record.taken < MIN_COPY_INTERVAL
+
     async def _async_place(
         self, packet: Packet, record: FlowRecord, route: Route
     ) -> None:
@@ -171,6 +184,8 @@
             later = await self._async_reply(pending, SERVER_ANSWER_TIMEOUT)
         finally:
             del self._pending[number]
+        if later is not None:
+            record.taken = None
         if later is Outcome.REFUSED_BY_SERVER and companion in record.takers:
             record.takers.remove(companion)
             record.owner = None
@@ -227,6 +242,7 @@
         if companion not in record.takers:
             record.takers.append(companion)
         record.owner = companion if len(record.takers) == 1 else None
+        record.taken = self._clock.monotonic()
 
     def _suspect(self, companion: CompanionView) -> None:
         """Avoid a companion that doesn't answer until it does."""
--- a/packages/pomelotrail-core/pomelotrail_core/datagrams.py
+++ b/packages/pomelotrail-core/pomelotrail_core/datagrams.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 from typing import Any, Final, Protocol
 
+from pomelotrail_core.early_sockets import take_or_bind
+
 _DATAGRAMS_PER_WAKE: Final = 32
 _MAX_DATAGRAM_BYTES: Final = 65_535
-_RECEIVE_BUFFER_BYTES: Final = 4_194_304
 
 
 class Hold(Protocol):
@@ -41,12 +41,7 @@
         super().__init__()
         self._hold = hold
         self._protocol = protocol
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
-        )
-        self._socket.bind(address)
+        self._socket = take_or_bind(address)
         self._send = self._socket.sendto
         self._loop = asyncio.get_running_loop()
         self._unsent = 0
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -1,5 +1,6 @@
 """What this process believes of backend servers, routes and zones."""
 
+import asyncio
 from datetime import timedelta
 
 import msgspec
@@ -55,6 +56,7 @@
         self._is_lost = False
         self._returned: timedelta | None = None
         self._generation = 0
+        self._usable = asyncio.Event()
 
     @property
     def is_usable(self) -> bool:
@@ -81,6 +83,10 @@
         """Return the availability zones that are out of service."""
         return frozenset(self._zones_out)
 
+    async def async_wait_until_usable(self) -> None:
+        """Return once there is a configuration to serve by."""
+        await self._usable.wait()
+
     def route(self, address: bytes) -> Route | None:
         """Return the route of a packed address."""
         if self._configuration is None:
@@ -279,6 +285,7 @@
         if configuration.version <= self.version:
             return
         self._configuration = configuration
+        self._usable.set()
         self._changed("configuration_in_force", routes=len(configuration.routes))
 
     def _take_zone_out(self, zone: str) -> None:
