Reset no flow by a list that an outage may have thinned

Cause: a balancer that starts in an outage of the store, or just after one, lists what is left; entries that lapsed come back up to two seconds later. The check of the store's revision took such a list for complete, so the living flow of a server that was still missing could be reset. A balancer whose first calls failed now waits two seconds with resets. One whose first call succeeds learns of the outage from companions, which balancers that lived through it tell with each offer and lookup.

Ruled out: two seconds without resets after every start (after a power loss, boards that ask on dead flows would wait them out, which is most of a window of two seconds); revisions and creation of entries (they tell an order, no time).

What nobody can tell: everything loses power while the store comes back; then nobody is left who saw the outage.

--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -49,6 +49,52 @@
 
         run_in_virtual_time(async_run())
 
+    def test_no_reset_while_entries_may_come_back(self) -> None:
+        """A balancer that started after an outage lacks the owner's entry."""
+
+        async def async_run(is_first_seen: bool) -> None:
+            """Let the owner's entry lapse in an outage, then lose the balancers."""
+            fleet = FlowFleet(balancers=1)
+            caller = fleet.caller()
+            await caller.async_request(b"one")
+            (owner,) = [h for h, server in fleet.servers.items() if server.ran]
+            fleet.directory().note_lost("silent")
+            if not is_first_seen:
+                # The balancer that lived through the outage offers a flow.
+                await fleet.caller().async_request(b"other")
+            fleet.start_balancer("192.0.2.200", is_listed=False)
+            if is_first_seen:
+                fleet.directory().note_lost("silent")
+                fleet.directory().note_reached()
+            listed = fleet.listing()
+            others = [each for each in listed.items if owner not in str(each)]
+            fleet.directory().replace(Listing(tuple(others), listed.revision))
+            with self.assertRaises(TimeoutError):
+                await caller.async_ask(b"two", 5)
+            fleet.directory().replace(listed)
+            self.assertEqual(await caller.async_ask(b"two"), b"answer to two")
+
+        for is_first_seen in (True, False):
+            with self.subTest(is_first_seen=is_first_seen):
+                run_in_virtual_time(async_run(is_first_seen))
+
+    def test_dead_flow_is_reset_after_an_outage(self) -> None:
+        """Two seconds after the store's return, the list is complete."""
+
+        async def async_run() -> None:
+            """Start a balancer in an outage, before a flow that nobody holds."""
+            fleet, caller = await self.async_crash_everything()
+            fleet.start_balancer("192.0.2.201", is_listed=False)
+            fleet.directory().note_lost("silent")
+            fleet.directory().note_reached()
+            fleet.directory().replace(fleet.listing())
+            with self.assertRaises(TimeoutError):
+                await caller.async_ask(b"two", 5)
+            await asyncio.sleep(1)
+            self.assertIsNone(await caller.async_ask(b"two", 1))
+
+        run_in_virtual_time(async_run())
+
     def test_no_reset_before_all_changes_are_known(self) -> None:
         """A server that is listed now may hold the flow."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -27,6 +27,7 @@
     LOOKUP_INTERVAL,
     LOOKUP_STAGE,
     MAX_HELD_PACKETS,
+    MILLISECOND,
     PING_INTERVAL,
 )
 from .early_packets import EarlyPackets
@@ -125,7 +126,8 @@
                 self._learn_owner(flow, sender)
             case Unsure(flow):
                 self._probe(flow, sender)
-            case LookupMiss(flow, packet):
+            case LookupMiss(flow, packet, unsettled_ms):
+                self._directory.note_unsettled(timedelta(milliseconds=unsettled_ms))
                 self._note_miss(flow, packet, sender)
             case Pong() as pong:
                 self._note_back(pong, sender)
@@ -213,7 +215,8 @@
 
     def _ask(self, record: FlowRecord, companion: CompanionView) -> None:
         """Ask one companion whether it owns a flow."""
-        message = Lookup(record.flow, companion.server.service)
+        unsettled_ms = self._directory.unsettled_for // MILLISECOND
+        message = Lookup(record.flow, companion.server.service, unsettled_ms)
         self._send_message(encode(message), companion.fleet)
 
     def _probe(self, flow: bytes, sender: Address) -> None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Final
 
+MILLISECOND: Final = timedelta(milliseconds=1)
 # A companion answers an offer in a few milliseconds, across zones too.
 OFFER_TIMEOUT: Final = timedelta(milliseconds=40)
 # A companion reports a silent backend server after 60 ms; see its doorway.
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/openings.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/openings.py
@@ -23,12 +23,17 @@
 from pomelotrail_core.flows import Packet, flow_text
 from pomelotrail_core.offers import Offer, OfferReply, Outcome, encode
 
-from .const import MAX_OFFERS, MIN_COPY_INTERVAL, OFFER_TIMEOUT, SERVER_ANSWER_TIMEOUT
+from .const import (
+    MAX_OFFERS,
+    MILLISECOND,
+    MIN_COPY_INTERVAL,
+    OFFER_TIMEOUT,
+    SERVER_ANSWER_TIMEOUT,
+)
 from .flow_table import FlowRecord
 
 _PART = "placement"
 _SILENT = "silent"
-_MILLISECOND = timedelta(milliseconds=1)
 
 
 class _PendingOffer(msgspec.Struct, eq=False):
@@ -216,8 +221,9 @@
             slots=companion.server.slots,
             cold_per_s=cold,
             priority=route.priority,
-            target_ms=route.target_latency // _MILLISECOND,
+            target_ms=route.target_latency // MILLISECOND,
             packet=packet.data,
+            unsettled_ms=self._directory.unsettled_for // MILLISECOND,
         )
         self._send(encode(offer), companion.fleet)
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
@@ -110,7 +110,8 @@
         match decode(data):
             case Offer() as offer:
                 self._consider(offer, sender)
-            case Lookup(flow, service):
+            case Lookup(flow, service, unsettled_ms):
+                self._ownership.outages.note(unsettled_ms)
                 self._ownership.answer(flow, service, sender)
             case Ping(number):
                 pong = Pong(number, self._book.occupancy, len(self._book))
@@ -176,6 +177,7 @@
             self._counters.add("offers_malformed")
             return
         now = self._clock.monotonic()
+        self._ownership.outages.note(offer.unsettled_ms)
         self._gate.set_slots(offer.slots)
         self._book.drop_unused_openings(now)
         outcome = self._judge(offer, packet, now)
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/ownership.py
@@ -13,6 +13,7 @@
 
 from .const import LONGEST_FLOW, PROBE_INTERVAL, SWEEP_INTERVAL
 from .flow_book import FlowBook
+from .outage_news import OutageNews
 
 
 class _Probe(msgspec.Struct):
@@ -52,12 +53,13 @@
         self._send_message = send_message
         self._give = give
         self._started = clock.monotonic()
+        self.outages = OutageNews(clock)
         self._probes: dict[bytes, _Probe] = {}
 
     def answer(self, flow: bytes, service: str, balancer: Address) -> None:
         """Answer a lookup."""
         booked = self._book.get(flow)
-        answer: FleetMessage = LookupMiss(flow, b"")
+        answer: FleetMessage = LookupMiss(flow, b"", self.outages.unsettled_ms)
         if booked is not None and booked.is_open:
             answer = Owner(flow)
         elif service == self._service and (booked or not self._knows_flows()):
@@ -93,7 +95,8 @@
     def deny(self, packet: Packet, mark: int, balancer: Address) -> None:
         """Tell a balancer that the backend server doesn't hold a flow."""
         data = self._codec.restored(packet) if mark == Mark.OWNED else b""
-        self._send_message(encode(LookupMiss(packet.caller_flow, data)), balancer)
+        miss = LookupMiss(packet.caller_flow, data, self.outages.unsettled_ms)
+        self._send_message(encode(miss), balancer)
 
     def sweep(self, now: timedelta) -> None:
         """Forget probes that nobody answered."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
@@ -34,6 +34,8 @@
 
     async def async_is_complete(self) -> bool:
         """Tell whether the directory has all changes; False if unknown."""
+        if self._directory.may_lack_entries:
+            return False
         if self._running is None or self._running.done():
             self._running = asyncio.create_task(self._async_check())
         return await asyncio.shield(self._running)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -57,6 +57,8 @@
         self._returned: timedelta | None = None
         self._generation = 0
         self._usable = asyncio.Event()
+        self._first_listed: timedelta | None = None
+        self._blind_until = timedelta()
 
     @property
     def is_usable(self) -> bool:
@@ -73,6 +75,24 @@
         """Return the revision of the store up to which changes are known."""
         return self._revision
 
+    @property
+    def unsettled_for(self) -> timedelta:
+        """Return how long entries that lapsed in an outage may still come back."""
+        if self._is_lost:
+            return LAPSE_GRACE
+        if self._returned is None:
+            return timedelta()
+        return max(timedelta(), self._returned + LAPSE_GRACE - self._clock.monotonic())
+
+    @property
+    def may_lack_entries(self) -> bool:
+        """Tell whether entries may be missing that this directory never saw.
+
+        A process that started in an outage, or just after one, lists the store
+        while entries of living servers are still to come back.
+        """
+        return self._clock.monotonic() < self._blind_until
+
     @property
     def generation(self) -> int:
         """Return a number that grows with every change of belief."""
@@ -139,6 +159,7 @@
 
     def replace(self, listing: Listing) -> None:
         """Take a whole listing; what it doesn't hold is missing."""
+        self._note_first_listing()
         listed = {
             item.server.identity
             for item in listing.items
@@ -168,6 +189,17 @@
                 case UnusableItem():
                     self._refuse(item)
 
+    def note_unsettled(self, remaining: timedelta) -> None:
+        """Record that a peer saw an outage whose lapsed entries may be missing here.
+
+        Who listed the store before the outage knows those entries.
+        """
+        now = self._clock.monotonic()
+        if remaining <= timedelta() or self._first_listed is None:
+            return
+        if now - self._first_listed < LAPSE_GRACE and not self.may_lack_entries:
+            self._be_blind(min(now + remaining, self._first_listed + LAPSE_GRACE))
+
     def note_lost(self, reason: str) -> None:
         """Record that the source can't be reached."""
         if not self._is_lost:
@@ -189,6 +221,25 @@
             if known.lapses is not None:
                 known.lapses = self._returned + LAPSE_GRACE
 
+    def _note_first_listing(self) -> None:
+        """Remember when the first listing came, and whether in or after an outage."""
+        if self._first_listed is not None:
+            return
+        self._first_listed = self._clock.monotonic()
+        if self.unsettled_for > timedelta():
+            self._be_blind(self._first_listed + self.unsettled_for)
+
+    def _be_blind(self, until: timedelta) -> None:
+        """Stop taking the entries that are known for all there are."""
+        self._blind_until = until
+        remaining = until - self._clock.monotonic()
+        self._log.write(
+            _PART,
+            "may_lack_entries",
+            for_ms=int(remaining.total_seconds() * 1000),
+            revision=self._revision,
+        )
+
     def _see(self, server: BackendServer) -> None:
         """Believe an entry."""
         known = self._known.get(server.identity)
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -33,6 +33,9 @@
     number of flows per second that a cold backend server may be given, or None
     for a warm one. ``priority`` (0 is the highest) and ``target_ms``, the
     latency that operators aim at, order the flow's requests when they wait.
+    ``unsettled_ms`` is how long entries that lapsed in an outage of the store may
+    still come back; 0 without an outage. Companions pass it on to balancers that
+    have just started.
     """
 
     number: int
@@ -43,6 +46,7 @@
     priority: int
     target_ms: int
     packet: bytes
+    unsettled_ms: int = 0
 
 
 class OfferReply(_Message, tag=2):
@@ -69,6 +73,7 @@
 
     flow: bytes
     service: str
+    unsettled_ms: int = 0
 
 
 class Unsure(_Message, tag=8):
@@ -86,10 +91,12 @@
     The sender is certain: either it knows all flows that its server holds, or the
     server itself gave the packet back. ``packet`` is what was sent to the supposed
     owner of the flow; it is empty for a lookup, which others got too.
+    ``unsettled_ms`` is what balancers told the sender, less the time since.
     """
 
     flow: bytes
     packet: bytes
+    unsettled_ms: int = 0
 
 
 class Ping(_Message, tag=5):
