Let a server that leaves requests unanswered look fuller

Cause: a grey backend server hangs on part of its requests while its health check is good. Its companion counted a hung request as done after two seconds, so the server looked idle and got the next flows. Requests that are overdue by a second, ran into that limit or were reset by the server now count double for five seconds in what the companion reports and admits by; waiting in its queue is still possible when all others are full.

Ruled out: ending such flows (the server lives, and only it may end them), reading answers (they belong to the two ends).

--- a/harness/tests/test_flow_admission.py
+++ b/harness/tests/test_flow_admission.py
@@ -43,6 +43,29 @@
 
         run_in_virtual_time(async_run())
 
+    def test_server_that_does_not_answer_is_avoided(self) -> None:
+        """After as many requests hung as it has slots, others get the flows."""
+
+        async def async_run() -> None:
+            """Let one of three servers hang, and send a request each 100 ms."""
+            fleet = FlowFleet(servers=3, slots=2)
+            hanging = next(iter(fleet.servers.values()))
+            hanging.work_s = 60.0
+            sweeps = [each.async_sweep_regularly() for each in fleet.doorways.values()]
+            sweeping = asyncio.gather(*sweeps)
+            tasks = []
+            for _ in range(60):
+                caller = fleet.caller()
+                tasks.append(asyncio.create_task(caller.async_request(b"one")))
+                await asyncio.sleep(0.1)
+            answered = [each for each in tasks if each.done() and not each.exception()]
+            self.assertLessEqual(len(hanging.openings), 2)
+            self.assertGreaterEqual(len(answered), 55)
+            for each in (*tasks, sweeping):
+                each.cancel()
+
+        run_in_virtual_time(async_run())
+
     def test_cold_server_gets_what_it_bears(self) -> None:
         """Its budget holds over all balancers."""
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/const.py
@@ -14,6 +14,13 @@
 REQUEST_TIMEOUT: Final = timedelta(seconds=12)
 # Longer than any work; a slot whose request takes longer counts as free.
 RUNNING_TIMEOUT: Final = timedelta(seconds=2)
+# The longest work is 480 ms; a server that is slowed down by half still answers.
+OVERDUE: Final = timedelta(seconds=1)
+# A server that fails now and then fails again within seconds; one that recovered
+# should not wait long for new flows.
+UNANSWERED_MEMORY: Final = timedelta(seconds=5)
+# Enough that a server of two slots declines flows that ask for a free one.
+UNANSWERED_LOAD: Final = 2
 # A connection on the same VM is accepted or refused in less than a millisecond.
 DEPARTURE_TIMEOUT: Final = timedelta(milliseconds=200)
 # A flow may be discarded after an idle time of 15 s, set by the operators.
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
@@ -114,7 +114,8 @@
                 self._ownership.outages.note(unsettled_ms)
                 self._ownership.answer(flow, service, sender)
             case Ping(number):
-                pong = Pong(number, self._book.occupancy, len(self._book))
+                load = self._book.load(self._clock.monotonic())
+                pong = Pong(number, load, len(self._book))
                 self._send_message(encode(pong), sender)
             case _:
                 self._counters.add("messages_malformed")
@@ -183,7 +184,8 @@
         outcome = self._judge(offer, packet, now)
         if outcome is Outcome.ACCEPTED:
             self._take(offer, packet, balancer, now)
-        reply = OfferReply(offer.number, outcome, self._book.occupancy, len(self._book))
+        load = self._book.load(now)
+        reply = OfferReply(offer.number, outcome, load, len(self._book))
         self._send_message(encode(reply), balancer)
         self._counters.add(f"offers_{outcome.name.lower()}")
         self._log.write(
@@ -192,6 +194,7 @@
             flow=flow_text(packet.caller_flow),
             copy=packet.copy,
             occupancy=self._book.occupancy,
+            load=load,
             limit=offer.limit,
             cold_per_s=offer.cold_per_s,
             balancer=balancer[0],
@@ -203,7 +206,7 @@
             return Outcome.OTHER_SERVICE
         if self._book.get(packet.caller_flow) is not None:
             return Outcome.ACCEPTED
-        if self._book.occupancy >= offer.limit:
+        if self._book.load(now) >= offer.limit:
             return Outcome.BUSY
         if offer.cold_per_s is not None and not self._budget.allows(
             offer.cold_per_s, now
@@ -307,7 +310,8 @@
 
     def _report_late(self, booked: BookedFlow, outcome: Outcome) -> None:
         """Correct the reply to an offer that was taken."""
-        reply = OfferReply(booked.offer, outcome, self._book.occupancy, len(self._book))
+        load = self._book.load(self._clock.monotonic())
+        reply = OfferReply(booked.offer, outcome, load, len(self._book))
         self._send_message(encode(reply), booked.balancer)
         self._log.write(
             _PART,
@@ -341,6 +345,8 @@
             booked.position = (packet.sequence + packet.size) % 2**32
             if packet.size:
                 self._observe(self._gate.note_answer(booked, now))
+            if packet.resets:
+                self._book.note_unanswered(booked, now)
             if packet.resets or packet.finishes:
                 self._end(booked)
             self._release(now)
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
@@ -14,8 +14,11 @@
     IDLE_TIMEOUT,
     MAX_FLOWS,
     OPENING_TIMEOUT,
+    OVERDUE,
     REQUEST_TIMEOUT,
     RUNNING_TIMEOUT,
+    UNANSWERED_LOAD,
+    UNANSWERED_MEMORY,
 )
 
 _SEQUENCE_RANGE = 2**32
@@ -64,7 +67,8 @@
         self._flows: dict[bytes, BookedFlow] = {}
         self._openings: deque[BookedFlow] = deque()
         self._asked = 0
-        self._running = 0
+        self._running: dict[bytes, BookedFlow] = {}
+        self._unanswered: deque[timedelta] = deque()
 
     def __len__(self) -> int:
         """Return the number of flows."""
@@ -78,7 +82,21 @@
     @property
     def running(self) -> int:
         """Return the number of requests that the backend server was given."""
-        return self._running
+        return len(self._running)
+
+    def load(self, now: timedelta) -> int:
+        """Return the occupancy, and more for requests that got no answer.
+
+        Load pattern answered: a backend server fails to answer some requests while
+        its health check is good. With every request that is overdue or was lost in
+        the last seconds it looks fuller, so that new flows go to others while they
+        have room.
+        """
+        while self._unanswered and now - self._unanswered[0] >= UNANSWERED_MEMORY:
+            self._unanswered.popleft()
+        running = self._running.values()
+        overdue = sum(now - each.started >= OVERDUE for each in running)
+        return self._asked + UNANSWERED_LOAD * (overdue + len(self._unanswered))
 
     def open_flows(self) -> list[BookedFlow]:
         """Return the flows that are open."""
@@ -144,7 +162,7 @@
     def start(self, booked: BookedFlow, now: timedelta) -> None:
         """Note that the backend server is given the request of a flow."""
         booked.started = now
-        self._running += 1
+        self._running[booked.flow] = booked
 
     def note_answer(self, booked: BookedFlow, now: timedelta) -> timedelta | None:
         """Note data of the backend server; return how long its work took."""
@@ -157,6 +175,12 @@
         booked.is_closed = True
         self._end_request(booked)
 
+    def note_unanswered(self, booked: BookedFlow, now: timedelta) -> None:
+        """Note that the backend server will not answer what it was given."""
+        if booked.started is not None:
+            self._unanswered.append(now)
+        self._end_request(booked)
+
     def sweep(self, now: timedelta) -> None:
         """Drop what has ended, and requests whose answer never came."""
         for flow, booked in list(self._flows.items()):
@@ -164,7 +188,7 @@
                 self.remove(flow)
             elif booked.started is not None:
                 if now - booked.started >= RUNNING_TIMEOUT:
-                    self._end_request(booked)
+                    self.note_unanswered(booked, now)
             elif booked.asked is not None and now - booked.asked >= REQUEST_TIMEOUT:
                 self._end_request(booked)
 
@@ -181,7 +205,7 @@
             self._asked -= 1
         if booked.started is not None:
             booked.started = None
-            self._running -= 1
+            self._running.pop(booked.flow, None)
 
 
 def _lifetime(booked: BookedFlow) -> timedelta:
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/tests/test_flow_book.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/tests/test_flow_book.py
@@ -4,7 +4,13 @@
 from datetime import timedelta
 
 from pomelotrail_companion.doorway import FlowBook
-from pomelotrail_companion.doorway.const import FIRST_REQUEST_TIMEOUT, RUNNING_TIMEOUT
+from pomelotrail_companion.doorway.const import (
+    FIRST_REQUEST_TIMEOUT,
+    OVERDUE,
+    RUNNING_TIMEOUT,
+    UNANSWERED_LOAD,
+    UNANSWERED_MEMORY,
+)
 
 _NOW = timedelta(seconds=5)
 
@@ -56,6 +62,19 @@
         self.book.drop_unused_openings(_NOW + FIRST_REQUEST_TIMEOUT)
         self.assertEqual(self.book.occupancy, 1)
 
+    def test_unanswered_request(self) -> None:
+        """The server looks fuller while it is overdue, and for some time after."""
+        self.book.note_caller_data(self.booked, 100, 50, _NOW)
+        self.book.start(self.booked, _NOW)
+        self.assertEqual(self.book.load(_NOW), 1)
+        late = _NOW + OVERDUE
+        self.assertEqual(self.book.load(late), 1 + UNANSWERED_LOAD)
+        lost = _NOW + RUNNING_TIMEOUT
+        self.book.sweep(lost)
+        self.assertEqual((self.book.occupancy, self.book.running), (0, 0))
+        self.assertEqual(self.book.load(lost), UNANSWERED_LOAD)
+        self.assertEqual(self.book.load(lost + UNANSWERED_MEMORY), 0)
+
     def test_next_request(self) -> None:
         """Further data begins the next one."""
         self.book.note_caller_data(self.booked, 100, 50, _NOW)
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -53,7 +53,8 @@
     """What became of the offer, and the load of the backend server.
 
     ``occupancy`` counts requests in progress and flows about to send their
-    first one; ``flows`` counts all open flows.
+    first one, and more for requests that got no answer; ``flows`` counts all
+    open flows.
     """
 
     number: int
