--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -24,10 +24,7 @@
 )
 
 from .const import (
-    COMPLETENESS_CHECKS,
-    LAST_LOOKUP_REPEAT,
     LOOKUP_INTERVAL,
-    LOOKUP_REPEAT,
     LOOKUP_STAGE,
     MAX_HELD_PACKETS,
     MILLISECOND,
@@ -215,31 +212,6 @@
             if not self._directory.has_left(companion.server):
                 record.asked.add(companion)
         self._end_if_denied(record)
-        self._ask_again_later(record, packet, LOOKUP_REPEAT)
-
-    def _ask_again_later(
-        self, record: FlowRecord, packet: Packet, delay: timedelta
-    ) -> None:
-        """Ask silent companions again, ever more seldom, while the caller waits.
-
-        Load pattern answered: after a power loss, companions start later than the
-        balancer that asks them, and the caller's next packet is up to 1.6 s away.
-        """
-        if delay <= LAST_LOOKUP_REPEAT:
-            loop = asyncio.get_running_loop()
-            loop.call_later(
-                delay.total_seconds(), self._ask_silent, record, packet, delay
-            )
-
-    def _ask_silent(self, record: FlowRecord, packet: Packet, delay: timedelta) -> None:
-        """Repeat the question to those that have not answered it."""
-        if record.sought is not packet or record.owner is not None:
-            return
-        now = self._clock.monotonic()
-        if self._budget.take(len(record.asked), now):
-            for companion in record.asked:
-                self._ask(record, companion)
-        self._ask_again_later(record, packet, 2 * delay)
 
     def _ask(self, record: FlowRecord, companion: CompanionView) -> None:
         """Ask one companion whether it owns a flow."""
@@ -274,16 +246,11 @@
         task.add_done_callback(self._ending.discard)
 
     async def _async_end(self, record: FlowRecord, sought: Packet) -> None:
-        """Reset a flow that nobody holds, once it is certain that all were asked."""
-        for _ in range(COMPLETENESS_CHECKS):
-            is_complete = await self._check.async_is_complete()
-            if record.owner is not None or record.takers or record.sought is not None:
-                return
-            if is_complete:
-                self._reset(sought, "nobody_holds_it")
-                self._flows.remove(record.flow)
-                return
-            await self._clock.async_sleep(LOOKUP_REPEAT)
+        """Reset a flow that nobody holds, if nobody was left out."""
+        is_complete = await self._check.async_is_complete()
+        if is_complete and record.owner is None and not record.takers:
+            self._reset(sought, "nobody_holds_it")
+            self._flows.remove(record.flow)
 
     def _learn_owner(self, flow: bytes, sender: Address) -> None:
         """Send what waits, and what follows, to the owner."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
@@ -15,13 +15,6 @@
 MIN_COPY_INTERVAL: Final = timedelta(milliseconds=150)
 # Companions answer a lookup in a few milliseconds; then all others are asked.
 LOOKUP_STAGE: Final = timedelta(milliseconds=15)
-# Silent companions are asked again after this time, then after twice as long, up to
-# the last; one that starts needs 200 to 400 ms.
-LOOKUP_REPEAT: Final = timedelta(milliseconds=100)
-LAST_LOOKUP_REPEAT: Final = timedelta(milliseconds=800)
-# Checks before a lookup ends without a verdict; each waits for changes that are on
-# their way, and callers repeat their packets after 1.6 s at most.
-COMPLETENESS_CHECKS: Final = 4
 # Messages of second stages in a second; each may lead to a packet of 300 bytes, so
 # they fill half of a link of 5 Mbit/s.
 LOOKUP_MESSAGES_PER_S: Final = 1_000
