Deny flows without a probe where companion and server started together

Cause: after a power loss every companion is young and lets its backend server answer for each flow that is looked up: question, doubt, packet, packet to the server, its return and the denial. With the budget of 1,000 messages a second, many dead flows were not even asked for before their callers gave up. Balancers now tell in each question when the server started, by its entry; a companion whose process started no later than 300 ms after it has seen all flows of that server and denies at once.

Limits: a jump of the clock between the start of a server and that of a companion that replaces another within the same seconds could mislead it.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -113,6 +113,7 @@
         self.slots = slots
         self.cold_flows_per_s = cold_flows_per_s
         self.cold: set[str] = set()
+        self.started_ms: dict[str, int] = {}
         self.servers = {
             host: StandInServer(
                 self.network, (host, SERVER_PORT), (host, FROM_SERVER_PORT), SERVICE
@@ -169,6 +170,7 @@
             self.servers[host].service,
             DoorwayAddresses((host, SERVER_PORT), FLEET_PORT, PACKETS_PORT),
             is_first_start,
+            self.clock.now(),
             CODEC,
             self.clock,
             self.log,
@@ -221,6 +223,7 @@
             state=ServerState.READY,
             cold_for=timedelta(seconds=2 if host in self.cold else 0),
             revision=revision,
+            started_ms=self.started_ms.get(host, 0),
         )
 
     def directory(self) -> Directory:
--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -190,6 +190,46 @@
 
         run_in_virtual_time(async_run())
 
+    def test_power_loss(self) -> None:
+        """Companions that started with their servers deny without asking them."""
+
+        async def async_run() -> None:
+            """Start servers and companions again at the same time."""
+            fleet = FlowFleet()
+            caller = fleet.caller()
+            await caller.async_request(b"one")
+            await asyncio.sleep(30)
+            now_ms = int(fleet.clock.now().timestamp() * 1000)
+            for host, server in fleet.servers.items():
+                server.crash()
+                fleet.stop_companion(host)
+                fleet.started_ms[host] = now_ms - 200
+                fleet.start_companion(host)
+            fleet.start_balancer("192.0.2.200")
+            self.assertIsNone(await caller.async_ask(b"two", 1))
+            self.assertEqual([s.strays for s in fleet.servers.values()], [[], [], []])
+
+        run_in_virtual_time(async_run())
+
+    def test_companion_that_started_after_its_server(self) -> None:
+        """An earlier companion may have let flows in, which the server still holds."""
+
+        async def async_run() -> None:
+            """Start the companions a second after their servers."""
+            fleet = FlowFleet()
+            started_ms = int(fleet.clock.now().timestamp() * 1000)
+            fleet.started_ms = dict.fromkeys(fleet.servers, started_ms)
+            caller = fleet.caller()
+            await caller.async_request(b"one")
+            await asyncio.sleep(1)
+            for host in fleet.servers:
+                fleet.stop_companion(host)
+                fleet.start_companion(host)
+            fleet.start_balancer("192.0.2.200")
+            self.assertEqual(await caller.async_ask(b"two"), b"answer to two")
+
+        run_in_virtual_time(async_run())
+
     def test_no_refusal_while_a_companion_is_silent(self) -> None:
         """It may have taken the flow, and its answer may be lost."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -216,7 +216,8 @@
     def _ask(self, record: FlowRecord, companion: CompanionView) -> None:
         """Ask one companion whether it owns a flow."""
         unsettled_ms = self._directory.unsettled_for // MILLISECOND
-        message = Lookup(record.flow, companion.server.service, unsettled_ms)
+        server = companion.server
+        message = Lookup(record.flow, server.service, unsettled_ms, server.started_ms)
         self._send_message(encode(message), companion.fleet)
 
     def _probe(self, flow: bytes, sender: Address) -> None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/const.py
@@ -29,6 +29,9 @@
 CLOSED_LINGER: Final = timedelta(seconds=4)
 # No flow lives longer; after it a restarted companion knows all flows.
 LONGEST_FLOW: Final = timedelta(seconds=60)
+# From the start of one process to that of the next, with a flow let in between:
+# loading takes 60 ms and more, and the platform waits before it starts the next.
+LOADING_TIME: Final = timedelta(milliseconds=300)
 SWEEP_INTERVAL: Final = timedelta(seconds=1)
 # One packet of an unknown flow in this time is given to the backend server.
 PROBE_INTERVAL: Final = timedelta(milliseconds=150)
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
@@ -1,7 +1,7 @@
 """Gives flows to the backend server and its packets to the callers."""
 
 import asyncio
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 import msgspec
 
@@ -63,6 +63,7 @@
         service: str,
         addresses: DoorwayAddresses,
         is_first_start: bool,
+        process_started: datetime,
         codec: PacketCodec,
         clock: Clock,
         log: EventLog,
@@ -74,7 +75,7 @@
         """Stand before a backend server of the service.
 
         ``is_first_start`` tells that no earlier process of this companion can
-        have let flows in.
+        have let flows in; ``process_started`` is the time of day of this one's start.
         """
         self._service = service
         self._addresses = addresses
@@ -92,9 +93,11 @@
         self._ownership = Ownership(
             service,
             is_first_start,
+            process_started,
             self._book,
             codec,
             clock,
+            log,
             counters,
             send_message,
             self._give,
@@ -110,8 +113,9 @@
         match decode(data):
             case Offer() as offer:
                 self._consider(offer, sender)
-            case Lookup(flow, service, unsettled_ms):
+            case Lookup(flow, service, unsettled_ms, server_started_ms):
                 self._ownership.outages.note(unsettled_ms)
+                self._ownership.note_server_start(server_started_ms)
                 self._ownership.answer(flow, service, sender)
             case Ping(number):
                 load = self._book.load(self._clock.monotonic())
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/ownership.py
@@ -1,17 +1,18 @@
 """Tells balancers which flows the backend server holds."""
 
 from collections.abc import Callable
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 import msgspec
 
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, Send
+from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import Mark, Packet, PacketCodec
 from pomelotrail_core.offers import FleetMessage, LookupMiss, Owner, Unsure, encode
 
-from .const import LONGEST_FLOW, PROBE_INTERVAL, SWEEP_INTERVAL
+from .const import LOADING_TIME, LONGEST_FLOW, PROBE_INTERVAL, SWEEP_INTERVAL
 from .flow_book import FlowBook
 from .outage_news import OutageNews
 
@@ -28,17 +29,19 @@
     """Answers for the flows of one backend server.
 
     What the book holds is certain. Of other flows, a process that is younger than
-    the longest flow lets the backend server answer: it is given one packet, a
-    *probe*, and either returns it or goes on with the flow.
+    the longest flow and than its backend server lets that server answer: it is given
+    one packet, a *probe*, and either returns it or goes on with the flow.
     """
 
     def __init__(
         self,
         service: str,
         is_first_start: bool,
+        process_started: datetime,
         book: FlowBook,
         codec: PacketCodec,
         clock: Clock,
+        log: EventLog,
         counters: Counters,
         send_message: Send,
         give: Callable[[Packet], None],
@@ -49,6 +52,8 @@
         self._book = book
         self._codec = codec
         self._clock = clock
+        self._log = log
+        self._process_started = process_started
         self._counters = counters
         self._send_message = send_message
         self._give = give
@@ -56,6 +61,24 @@
         self.outages = OutageNews(clock)
         self._probes: dict[bytes, _Probe] = {}
 
+    def note_server_start(self, started_ms: int) -> None:
+        """Take when the backend server started, by the same VM's time of day.
+
+        All its flows came in by this process if it started no earlier, or so little
+        earlier that another process could not have been loaded before this one.
+
+        Load pattern answered: after a power loss, every open flow of the service is
+        looked up at every companion. Letting the backend servers answer takes six
+        messages for each, which is more than slow links and processors carry.
+        """
+        if self._knows_all_flows or not started_ms:
+            return
+        started = datetime.fromtimestamp(started_ms / 1000, UTC)
+        if self._process_started - started > LOADING_TIME:
+            return
+        self._knows_all_flows = True
+        self._log.write("ownership", "knows_all_flows", server_started=str(started))
+
     def answer(self, flow: bytes, service: str, balancer: Address) -> None:
         """Answer a lookup."""
         booked = self._book.get(flow)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
@@ -21,6 +21,8 @@
 
     ``slots`` is the number of requests that it works on at once; more wait.
     ``cold_for`` is how much longer it was slow when the entry was written.
+    ``started_ms`` is when it started, in milliseconds since 1970 by the clock of its
+    VM, or 0 if its entry doesn't say so.
     """
 
     identity: str
@@ -31,6 +33,7 @@
     state: ServerState
     cold_for: timedelta
     revision: int = 0
+    started_ms: int = 0
 
 
 class ServiceShare(msgspec.Struct, frozen=True):
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -70,11 +70,15 @@
 
 
 class Lookup(_Message, tag=7):
-    """A balancer asks whether the receiver's backend server holds a flow."""
+    """A balancer asks whether the receiver's backend server holds a flow.
+
+    ``server_started_ms`` is when that server started, by its entry; 0 if unknown.
+    """
 
     flow: bytes
     service: str
     unsettled_ms: int = 0
+    server_started_ms: int = 0
 
 
 class Unsure(_Message, tag=8):
