Place waiting openings newest first, and drop old ones

Openings now wait in a queue of their own; four of the newest are placed between reads of replies and known flows, and those that have waited 200 ms are dropped, since their callers have sent a copy.

The test replays twice as many openings as a processor places: half are served within 200 ms; first in, first out let all wait for longer than that.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -33,6 +33,7 @@
 from .early_packets import EarlyPackets
 from .flow_table import FlowRecord, FlowTable
 from .message_budget import MessageBudget
+from .opening_queue import OpeningQueue
 from .openings import Openings
 
 _PART = "carrying"
@@ -77,6 +78,7 @@
         self._flows = FlowTable()
         self._budget = MessageBudget(clock.monotonic())
         self._early = EarlyPackets()
+        self._queue = OpeningQueue(clock, log, counters, self._open)
         self._ending: set[asyncio.Task] = set()
         self._openings = Openings(
             directory,
@@ -100,11 +102,11 @@
             self._early.hold(data, sender, now)
             self._counters.add("packets_without_configuration")
             return
-        flow = packet.caller_flow
-        record = self._flows.get(flow, now)
         if packet.opens:
-            self._openings.open(packet, record or self._flows.add(flow, now))
+            self._queue.add(packet)
             return
+        flow = packet.caller_flow
+        record = self._flows.get(flow, now)
         record = record or self._flows.add(flow, now)
         if record.owner and self._directory.has_left(record.owner.server):
             record.owner = None
@@ -147,6 +149,13 @@
             for companion in self._companions.suspects():
                 self._send_message(encode(Ping(0)), companion.fleet)
 
+    def _open(self, packet: Packet) -> None:
+        """Place a flow, or a further copy of its opening packet."""
+        now = self._clock.monotonic()
+        flow = packet.caller_flow
+        record = self._flows.get(flow, now) or self._flows.add(flow, now)
+        self._openings.open(packet, record)
+
     def _forward(self, packet: Packet, companion: CompanionView, mark: Mark) -> None:
         """Send a packet to a companion."""
         labelled = self._codec.labelled(packet, companion.label, mark)
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/tests/test_opening_queue.py
@@ -0,0 +1,65 @@
+"""Tests that replay more openings than a processor places."""
+
+import asyncio
+import unittest
+
+from harness.flow_fleet import KeptLines
+from harness.virtual_time import (
+    VirtualClock,
+    keep_processor_busy,
+    run_in_virtual_time,
+)
+from pomelotrail_balancer.carrying.opening_queue import OpeningQueue
+from pomelotrail_core.counters import Counters
+from pomelotrail_core.event_log import EventLog
+from stand_ins.flows import make_packet
+
+_SERVICE = bytes(6)
+
+
+class OpeningQueueTest(unittest.TestCase):
+    """Openings that each take 20 ms to place."""
+
+    def replay(self, per_s: int, seconds: float) -> list[float]:
+        """Return how long each opening that was placed had waited."""
+        waits: list[float] = []
+        counters = Counters()
+
+        async def async_run() -> None:
+            """Send openings at a steady rate."""
+            loop = asyncio.get_running_loop()
+            sent: dict[bytes, float] = {}
+
+            def place(packet) -> None:  # noqa: ANN001
+                """Record the wait and be busy."""
+                waits.append(loop.time() - sent[packet.sender])
+                keep_processor_busy(0.02)
+
+            log = EventLog("test", VirtualClock(), KeptLines())
+            queue = OpeningQueue(VirtualClock(), log, counters, place)
+            index = 0
+            while loop.time() < seconds:
+                while index < loop.time() * per_s:
+                    caller = index.to_bytes(6)
+                    sent[caller] = index / per_s
+                    queue.add(make_packet(caller, _SERVICE, 1, 0, opens=True))
+                    index += 1
+                await asyncio.sleep(0.001)
+
+        run_in_virtual_time(async_run())
+        self.dropped = counters.value("openings_dropped")
+        return waits
+
+    def test_enough_processor(self) -> None:
+        """Each is placed, and none waits long."""
+        waits = self.replay(per_s=25, seconds=4)
+        self.assertEqual(self.dropped, 0)
+        self.assertGreaterEqual(len(waits), 98)
+        self.assertLess(max(waits), 0.1)
+
+    def test_twice_as_many_as_can_be_placed(self) -> None:
+        """The processor is used, and whoever is placed has waited 200 ms at most."""
+        waits = self.replay(per_s=100, seconds=10)
+        self.assertGreaterEqual(len(waits), 400)
+        self.assertLess(max(waits), 0.4)
+        self.assertLess(sorted(waits)[len(waits) // 2], 0.2)
