Let lookups send what a VM's processor and link can spare

Each dead flow is asked for at all companions, within 1,000 messages a second on every VM; lookups beyond were put off until the caller's next packet. The budget now follows the platform's settings: a quarter of the processor and a quarter of the link, at least 150 a second.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -153,6 +153,7 @@
             self.log,
             self.counters,
             PACKETS_PORT,
+            1_000.0,
             self.network.sender((host, PACKETS_PORT)),
             self.network.sender((host, FLEET_PORT)),
         )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -61,10 +61,15 @@
         log: EventLog,
         counters: Counters,
         callers_port: int,
+        lookups_per_s: float,
         send_packet: Send,
         send_message: Send,
     ) -> None:
-        """Send packets and messages with the given functions."""
+        """Send packets and messages with the given functions.
+
+        ``lookups_per_s`` is the number of messages that lookups may send beyond
+        those to likely owners.
+        """
         self._directory = directory
         self._check = check
         self._companions = companions
@@ -76,7 +81,7 @@
         self._send_packet = send_packet
         self._send_message = send_message
         self._flows = FlowTable()
-        self._budget = MessageBudget(clock.monotonic())
+        self._budget = MessageBudget(lookups_per_s, clock.monotonic())
         self._early = EarlyPackets()
         self._queue = OpeningQueue(clock, log, counters, self._open)
         self._ending: set[asyncio.Task] = set()
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
@@ -24,9 +24,13 @@
 MIN_COPY_INTERVAL: Final = timedelta(milliseconds=150)
 # Companions answer a lookup in a few milliseconds; then all others are asked.
 LOOKUP_STAGE: Final = timedelta(milliseconds=15)
-# Messages of second stages in a second; each may lead to a packet of 300 bytes, so
-# they fill half of a link of 5 Mbit/s.
-LOOKUP_MESSAGES_PER_S: Final = 1_000
+# Second stages of lookups: a question, its answer and their handling take some 60
+# microseconds, so these fill a quarter of a core.
+LOOKUP_MESSAGES_PER_CORE_S: Final = 4_000
+# Questions take 90 bytes on the wire, so these fill a quarter of a link.
+LOOKUP_MESSAGES_PER_MBIT: Final = 350
+# What the smallest VM served today carries beside its packets.
+LEAST_LOOKUP_MESSAGES_PER_S: Final = 150.0
 # Callers send lost packets again after 200 ms and more.
 LOOKUP_INTERVAL: Final = timedelta(milliseconds=150)
 # Ends have at most 16 packets in flight.
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/message_budget.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/message_budget.py
@@ -2,29 +2,44 @@
 
 from datetime import timedelta
 
-from .const import LOOKUP_MESSAGES_PER_S
+from .const import (
+    LEAST_LOOKUP_MESSAGES_PER_S,
+    LOOKUP_MESSAGES_PER_CORE_S,
+    LOOKUP_MESSAGES_PER_MBIT,
+)
 
 _SECOND = timedelta(seconds=1)
 
 
+def lookup_messages_per_s(cores: float, link_mbit_s: float) -> float:
+    """Return what a VM can spare for lookups, by its processor and its link::
+
+    lookup_messages_per_s(cores=0.5, link_mbit_s=5.0)
+    """
+    by_processor = cores * LOOKUP_MESSAGES_PER_CORE_S
+    by_link = link_mbit_s * LOOKUP_MESSAGES_PER_MBIT
+    return max(LEAST_LOOKUP_MESSAGES_PER_S, min(by_processor, by_link))
+
+
 class MessageBudget:
     """A token bucket of one second's messages.
 
     Load pattern answered: after a power loss every open flow is looked up, and
     nobody holds any. Asking all companions for each flow would fill a slow link
-    and delay the flows that can be served; the rest is asked when their callers
-    repeat their packets.
+    or processor and delay the flows that can be served; the rest is asked when
+    their callers repeat their packets.
     """
 
-    def __init__(self, now: timedelta) -> None:
+    def __init__(self, per_s: float, now: timedelta) -> None:
         """Start with a full bucket."""
-        self._tokens = float(LOOKUP_MESSAGES_PER_S)
+        self._per_s = per_s
+        self._tokens = per_s
         self._at = now
 
     def take(self, messages: int, now: timedelta) -> bool:
         """Take messages from the bucket, if it holds any."""
-        gained = (now - self._at) / _SECOND * LOOKUP_MESSAGES_PER_S
-        self._tokens = min(float(LOOKUP_MESSAGES_PER_S), self._tokens + gained)
+        gained = (now - self._at) / _SECOND * self._per_s
+        self._tokens = min(self._per_s, self._tokens + gained)
         self._at = now
         if self._tokens <= 0:
             return False
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/tests/test_message_budget.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/tests/test_message_budget.py
@@ -3,8 +3,12 @@
 import unittest
 from datetime import timedelta
 
-from pomelotrail_balancer.carrying.const import LOOKUP_MESSAGES_PER_S
-from pomelotrail_balancer.carrying.message_budget import MessageBudget
+from pomelotrail_balancer.carrying.message_budget import (
+    MessageBudget,
+    lookup_messages_per_s,
+)
+
+_PER_S = 1_000.0
 
 
 class MessageBudgetTest(unittest.TestCase):
@@ -12,15 +16,21 @@
 
     def test_many_lookups(self) -> None:
         """Ten seconds of 200 lookups among 70 companions stay within the budget."""
-        budget = MessageBudget(timedelta())
+        budget = MessageBudget(_PER_S, timedelta())
         sent = 0
         for index in range(2_000):
             if budget.take(70, timedelta(milliseconds=5 * index)):
                 sent += 70
-        self.assertLessEqual(sent, 11 * LOOKUP_MESSAGES_PER_S + 70)
-        self.assertGreaterEqual(sent, 9 * LOOKUP_MESSAGES_PER_S)
+        self.assertLessEqual(sent, 11 * _PER_S + 70)
+        self.assertGreaterEqual(sent, 9 * _PER_S)
 
     def test_small_fleet(self) -> None:
         """Thirty lookups at once among ten companions all pass."""
-        budget = MessageBudget(timedelta())
+        budget = MessageBudget(_PER_S, timedelta())
         self.assertTrue(all(budget.take(10, timedelta()) for _ in range(30)))
+
+    def test_budget_follows_the_vm(self) -> None:
+        """The weaker of processor and link decides, down to a least."""
+        self.assertEqual(lookup_messages_per_s(1.0, 1_000.0), 4_000)
+        self.assertEqual(lookup_messages_per_s(2.0, 5.0), 1_750)
+        self.assertEqual(lookup_messages_per_s(0.01, 5.0), 150)
--- a/stand_ins/platform_fleet.py
+++ b/stand_ins/platform_fleet.py
@@ -40,6 +40,10 @@
 datagram_addr = "{host}:{packets}"
 ready = "{host}:{ready}"
 {outbound}
+[limits]
+cpu_share = 1.0
+cpu_cores = 1
+bandwidth_mbps = 1000.0
 [platform]
 address = "127.0.0.1:{store}"
 """
