Look flows up at the companions of all services

Cause: a new configuration may lead a route to another service, and open flows stay where they are. A balancer that didn't know such a flow asked only the companions of the route's present service; all denied it, and it reset a living flow.

The companions of the route's services are still asked first, then all others. A server of another service is never given a packet to find out; while its companion can't tell, the flow isn't reset.

Ruled out: remembering earlier versions (a balancer may have started after them).

Both new tests fail before.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -191,19 +191,19 @@
         self.network.silence(host)
         self.network.listen((host, SERVER_PORT), server.receive)
 
-    def listing(self) -> Listing:
-        """Return what the store would list."""
+    def listing(self, version: int = 1, service: str = SERVICE) -> Listing:
+        """Return what the store would list, with the route's service."""
         route = Route(
             "board",
             Endpoint(*SERVICE_ADDRESS),
-            (ServiceShare(SERVICE),),
+            (ServiceShare(service),),
             timedelta(seconds=4),
             timedelta(milliseconds=250),
             1,
             True,
         )
         configuration = PublishedConfiguration(
-            1,
+            version,
             {route.endpoint.pack(): route},
             {SERVICE: ServiceTerms(SERVICE, self.cold_flows_per_s)},
         )
--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -230,6 +230,40 @@
 
         run_in_virtual_time(async_run())
 
+    def test_route_that_leads_to_another_service_now(self) -> None:
+        """A flow of before goes on where it is, also through another balancer."""
+
+        async def async_run() -> None:
+            """Let the route lead elsewhere, and start a balancer after that."""
+            fleet = FlowFleet(servers=4)
+            caller = fleet.caller()
+            await caller.async_request(b"one")
+            fleet.start_balancer("192.0.2.200", is_listed=False)
+            fleet.directory().replace(fleet.listing(2, "certificate-desk"))
+            self.assertEqual(await caller.async_ask(b"two"), b"answer to two")
+
+        run_in_virtual_time(async_run())
+
+    def test_server_of_another_service_gets_no_packet_to_find_out(self) -> None:
+        """Its companion's doubt stands, and nothing is reset."""
+
+        async def async_run() -> None:
+            """Lose all tables when the route leads elsewhere."""
+            fleet = FlowFleet(servers=4)
+            caller = fleet.caller()
+            await caller.async_request(b"one")
+            for host, server in fleet.servers.items():
+                server.crash()
+                fleet.stop_companion(host)
+                fleet.start_companion(host)
+            fleet.start_balancer("192.0.2.200", is_listed=False)
+            fleet.directory().replace(fleet.listing(2, "certificate-desk"))
+            with self.assertRaises(TimeoutError):
+                await caller.async_ask(b"two", 5)
+            self.assertFalse(any(s.strays for s in fleet.servers.values()))
+
+        run_in_virtual_time(async_run())
+
     def test_no_refusal_while_a_companion_is_silent(self) -> None:
         """It may have taken the flow, and its answer may be lost."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -180,11 +180,8 @@
         record.held = []
         record.looked_up = now
         record.sought = packet
-        record.unasked = []
-        record.asked = set()
         self._counters.add("lookups")
-        for share in route.shares:
-            self._ask_preferred(record, share.service)
+        self._ask_preferred(record, {share.service for share in route.shares})
         self._log.write(
             _PART,
             "looked_up",
@@ -197,16 +194,21 @@
         loop = asyncio.get_running_loop()
         loop.call_later(LOOKUP_STAGE.total_seconds(), self._ask_rest, record, packet)
 
-    def _ask_preferred(self, record: FlowRecord, service: str) -> None:
-        """Ask the companions that the flow was probably offered to first."""
-        holders = self._companions.holders(service)
-        left = self._companions.left(service)
-        first = self._companions.preferred(record.flow, holders)
-        for companion in first:
+    def _ask_preferred(self, record: FlowRecord, services: set[str]) -> None:
+        """Ask the companions that the flow was probably offered to first.
+
+        The others are asked later, those of other services too: the flow may be
+        older than the configuration that leads its route to these.
+        """
+        holders = self._companions.holders()
+        record.asked = set()
+        for service in services:
+            own = [each for each in holders if each.server.service == service]
+            record.asked.update(self._companions.preferred(record.flow, own))
+        for companion in record.asked:
             self._ask(record, companion)
-        record.asked.update(first)
         rest = [each for each in holders if each not in record.asked]
-        record.unasked += [*rest, *left]
+        record.unasked = [*rest, *self._companions.left()]
 
     def _ask_rest(self, record: FlowRecord, packet: Packet) -> None:
         """Ask everybody else, unless the lookup has ended or begun anew.
@@ -235,12 +237,19 @@
         self._send_message(encode(message), companion.fleet)
 
     def _probe(self, flow: bytes, sender: Address) -> None:
-        """Let the backend server of a companion that is unsure tell."""
+        """Let the backend server of a companion that is unsure tell.
+
+        A server of another service than those of the route gets nothing, so its
+        companion's doubt stands, and the flow isn't reset.
+        """
         companion = self._companions.at(sender)
         record = self._flows.get(flow, self._clock.monotonic())
         if record is None or companion is None or record.sought is None:
             return
-        self._forward(record.sought, companion, Mark.LOOKUP)
+        route = self._directory.route(record.sought.receiver)
+        shares = route.shares if route is not None else ()
+        if companion.server.service in {share.service for share in shares}:
+            self._forward(record.sought, companion, Mark.LOOKUP)
 
     def _note_denial(self, record: FlowRecord, companion: CompanionView) -> None:
         """Note that a companion denied a flow; the last one ends the lookup."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companions.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companions.py
@@ -33,13 +33,13 @@
         """Return the companions that may be offered new flows of a service."""
         return [self._view(each) for each in self._directory.candidates(service)]
 
-    def holders(self, service: str) -> list[CompanionView]:
-        """Return the companions whose servers may hold flows of a service."""
-        return [self._view(each) for each in self._directory.holders(service)]
+    def holders(self) -> list[CompanionView]:
+        """Return the companions whose servers may hold flows."""
+        return [self._view(each) for each in self._directory.holders()]
 
-    def left(self, service: str) -> list[CompanionView]:
-        """Return the companions whose servers have left the service."""
-        return [self._view(each) for each in self._directory.left(service)]
+    def left(self) -> list[CompanionView]:
+        """Return the companions whose servers have left."""
+        return [self._view(each) for each in self._directory.left()]
 
     def preferred(
         self, flow: bytes, companions: list[CompanionView]
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -124,11 +124,14 @@
             and known.server.zone not in self._zones_out
         ]
 
-    def holders(self, service: str) -> list[BackendServer]:
-        """Return all backend servers that may hold flows of a service."""
+    def holders(self) -> list[BackendServer]:
+        """Return all backend servers that may hold flows, of whatever service.
+
+        A route may have led to another service when a flow was opened.
+        """
         self._expire()
         known = (*self._known.values(), *self._former_servers(is_settled=False))
-        return [each.server for each in known if each.server.service == service]
+        return [each.server for each in known]
 
     def has_left(self, server: BackendServer) -> bool:
         """Tell whether a backend server's entry has been missing for a while."""
@@ -137,14 +140,13 @@
             return False
         return self._clock.monotonic() - former.seen >= LAPSE_GRACE
 
-    def left(self, service: str) -> list[BackendServer]:
+    def left(self) -> list[BackendServer]:
         """Return the backend servers whose entries have been missing for a while.
 
         An entry that went missing by mistake is back by then, so these are gone.
         """
         self._expire()
-        former = self._former_servers(is_settled=True)
-        return [each.server for each in former if each.server.service == service]
+        return [each.server for each in self._former_servers(is_settled=True)]
 
     def cold_flows_per_s(self, server: BackendServer) -> float | None:
         """Return what a cold backend server bears now, or None for a warm one."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
@@ -37,7 +37,8 @@
 
     def holders(self) -> list[str]:
         """Return who may hold flows of the service."""
-        return [each.identity for each in self.directory.holders("ledger")]
+        holders = self.directory.holders()
+        return [each.identity for each in holders if each.service == "ledger"]
 
     def test_version_never_goes_back(self) -> None:
         """A lower version is not adopted, whoever lists it."""
