A fault soak over the real programs

script/soak starts real roles as processes on loopback with the stand-ins of store, backend servers and callers, draws faults from a seed and judges by what callers and backend servers see: living flows aren't reset, answers are whole and one's own, requests run once, services, draining, zones, cold budgets, configuration in force, service after recovery.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: the real roles as processes, and faults from outside them."""
--- a/stand_ins/platform_fleet.py
+++ b/stand_ins/platform_fleet.py
@@ -22,7 +22,7 @@
 
 from harness.process import ROOT
 from stand_ins.flows import CallerHost, LoopbackNetwork, StandInCaller, StandInServer
-from stand_ins.platform_store import PlatformStore
+from stand_ins.platform_store import PlatformStore, PublishedRoute, Publisher
 
 SERVICE: Final = "ledger"
 SERVICE_ADDRESS: Final = ("198.51.100.1", 8443)
@@ -31,7 +31,7 @@
 
 _SETTINGS = """
 node_name = "{name}"
-zone = "zone-1"
+zone = "{zone}"
 ip = "{host}"
 internal_ports = [{fleet}, {fleet}]
 bootstrap = {bootstrap}
@@ -81,11 +81,58 @@
         await asyncio.sleep(POLL_S)
 
 
+async def async_wait_ready(process: "RoleProcess", port: int) -> None:
+    """Wait until a process answers that it is ready."""
+    url = f"http://{process.host}:{port}/readiness"
+    async with asyncio.timeout(START_TIMEOUT_S), aiohttp.ClientSession() as session:
+        while True:
+            try:
+                async with session.get(url) as answer:
+                    if answer.status == 200:
+                        return
+            except aiohttp.ClientError:
+                # The process has not opened its port yet.
+                pass
+            await asyncio.sleep(POLL_S)
+
+
+def write_settings(
+    process: "RoleProcess",
+    ports: Ports,
+    store: int,
+    service: str = "",
+    zone: str = "zone-1",
+    is_first_start: bool = False,
+) -> None:
+    """Write the settings file of a process; a service makes it a companion's."""
+    app = f'app = "{process.host}:{ports.server}"\nservice = "{service}"'
+    outbound = f'outbound = "{process.host}:{ports.from_server}"'
+    text = _SETTINGS.format(
+        name=process.name,
+        zone=zone,
+        host=process.host,
+        fleet=ports.fleet,
+        packets=ports.packets,
+        ready=ports.ready,
+        store=store,
+        bootstrap=str(is_first_start).lower(),
+        companion=app if service else "",
+        outbound=outbound if service else "",
+    )
+    process.settings.write_text(text)
+
+
 class RoleProcess:
     """One role, started again and again with the same settings."""
 
-    def __init__(self, role: str, name: str, host: str, directory: Path) -> None:
-        """Keep settings and log under a directory."""
+    def __init__(
+        self, role: str, name: str, host: str, directory: Path, prelude: str = ""
+    ) -> None:
+        """Keep settings and log under a directory.
+
+        ``prelude`` is a statement that the process runs first.
+        """
+        self._prelude = prelude
         self.name = name
         self.host = host
         self.settings = directory / f"{name}.toml"
@@ -95,8 +142,8 @@
 
     async def async_start(self) -> None:
         """Start the process."""
-        paths = [ROOT / "platform", *sorted((ROOT / "packages").iterdir())]
-        code = (
+        paths = [ROOT, ROOT / "platform", *sorted((ROOT / "packages").iterdir())]
+        code = self._prelude + (
             "import sys; from importlib import import_module; "
             "from pomelotrail_core.lean_process import run_role; "
             f"run_role(import_module('pomelotrail_platform.{self._role}_role')"
@@ -127,6 +174,11 @@
         """Send a signal after which the process goes on."""
         self._process.send_signal(number)
 
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
     def lines(self) -> list[dict]:
         """Return the structured log."""
         text = self.log.read_text().splitlines()
@@ -188,17 +240,7 @@
 
     async def async_wait_ready(self, process: RoleProcess) -> None:
         """Wait until a process answers that it is ready."""
-        url = f"http://{process.host}:{self.ports.ready}/readiness"
-        async with asyncio.timeout(START_TIMEOUT_S), aiohttp.ClientSession() as session:
-            while True:
-                try:
-                    async with session.get(url) as answer:
-                        if answer.status == 200:
-                            return
-                except aiohttp.ClientError:
-                    # The process has not opened its port yet.
-                    pass
-                await asyncio.sleep(POLL_S)
+        await async_wait_ready(process, self.ports.ready)
 
     async def async_readiness(self, process: RoleProcess) -> int:
         """Return the status that a process answers."""
@@ -226,36 +268,20 @@
 
     def _publish(self) -> None:
         """Write the configuration and the entries of all servers."""
-        host, port = SERVICE_ADDRESS
-        route = {
-            **{"name": "board", "host": host, "prefix": f"/{port}/"},
-            **{"kind": "idempotent", "timeout_ms": 4000, "target_latency_ms": 250},
-            **{"priority": 1, "service": SERVICE},
-        }
-        content = {"version": 1, "routes": [route], "services": [{"name": SERVICE}]}
-        self.store.write("op/config", json.dumps(content).encode())
+        publisher = Publisher(self.store)
+        route = PublishedRoute("board", *SERVICE_ADDRESS, SERVICE)
+        publisher.configuration(1, [route])
         for index, companion in enumerate(self.companions):
-            entry = {
-                **{"service": SERVICE, "zone": "zone-1", "version": "v1"},
-                **{"address": f"{companion.host}:{self.ports.server}", "capacity": 4},
-                **{"state": "ready", "warmup_left_ms": 0, "sequence": 1},
-            }
-            self.store.write(f"servers/server-{index}", json.dumps(entry).encode())
+            address = f"{companion.host}:{self.ports.server}"
+            publisher.server(f"server-{index}", SERVICE, address, "zone-1", 4, 0)
 
     def _write_settings(self, process: RoleProcess, is_first_start: bool) -> None:
         """Write the settings file of a process."""
-        is_companion = process in self.companions
-        app = f'app = "{process.host}:{self.ports.server}"\nservice = "{SERVICE}"'
-        outbound = f'outbound = "{process.host}:{self.ports.from_server}"'
-        text = _SETTINGS.format(
-            name=process.name,
-            host=process.host,
-            fleet=self.ports.fleet,
-            packets=self.ports.packets,
-            ready=self.ports.ready,
-            store=self.store.port,
-            bootstrap=str(is_first_start).lower(),
-            companion=app if is_companion else "",
-            outbound=outbound if is_companion else "",
+        service = SERVICE if process in self.companions else ""
+        write_settings(
+            process,
+            self.ports,
+            self.store.port,
+            service=service,
+            is_first_start=is_first_start,
         )
-        process.settings.write_text(text)
--- /dev/null
+++ b/stand_ins/platform_store/publisher.py
@@ -0,0 +1,83 @@
+"""Writes what backend servers and operators write to the store."""
+
+import json
+from typing import Any
+
+import attrs
+
+from .store import PlatformStore
+
+ServerFields = dict[str, Any]
+
+
+@attrs.frozen
+class PublishedRoute:
+    """A route to one service."""
+
+    name: str
+    host: str
+    port: int
+    service: str
+
+
+class Publisher:
+    """Keeps items in the store's form."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        """Write to a store."""
+        self._store = store
+
+    def server(
+        self,
+        identity: str,
+        service: str,
+        address: str,
+        zone: str,
+        slots: int,
+        started_ms: int,
+        cold_ms: int = 0,
+        is_leaving: bool = False,
+    ) -> None:
+        """Write the entry of a backend server."""
+        entry = {
+            **{"service": service, "zone": zone, "version": "v1", "sequence": 1},
+            **{"address": address, "capacity": slots, "born": started_ms},
+            **{"state": "draining" if is_leaving else "ready"},
+            **{"warmup_left_ms": cold_ms},
+        }
+        self._store.write(f"servers/{identity}", json.dumps(entry).encode())
+
+    def remove_server(self, identity: str) -> None:
+        """Remove the entry of a backend server."""
+        self._store.remove(f"servers/{identity}")
+
+    def configuration(
+        self, version: int, routes: list[PublishedRoute], cold_per_s: float = 0.0
+    ) -> None:
+        """Write a version of the configuration."""
+        content = {
+            "version": version,
+            "routes": [_route(each) for each in routes],
+            "services": [
+                {"name": name, "warmup_per_s": cold_per_s}
+                for name in sorted({each.service for each in routes})
+            ],
+        }
+        self._store.write("op/config", json.dumps(content).encode())
+
+    def take_zone_out(self, zone: str) -> None:
+        """Order that nothing more is sent to the servers of a zone."""
+        self._store.write(f"op/evacuate/{zone}", b"{}")
+
+    def bring_zone_back(self, zone: str) -> None:
+        """Take the order back."""
+        self._store.remove(f"op/evacuate/{zone}")
+
+
+def _route(route: PublishedRoute) -> dict[str, Any]:
+    """Return a route in the store's form."""
+    return {
+        **{"name": route.name, "host": route.host, "prefix": f"/{route.port}/"},
+        **{"kind": "idempotent", "timeout_ms": 4000, "target_latency_ms": 250},
+        **{"priority": 1, "service": route.service},
+    }
--- a/stand_ins/platform_store/store.py
+++ b/stand_ins/platform_store/store.py
@@ -22,12 +22,13 @@
     """How the store misbehaves.
 
     ``status`` answers every call with it, ``is_silent`` answers none, and
-    ``body`` replaces every answer.
+    ``body`` replaces every answer. ``delay_s`` makes answers late.
     """
 
     status: int = 0
     is_silent: bool = False
     body: bytes = b""
+    delay_s: float = 0.0
 
 
 class PlatformStore:
@@ -90,6 +91,7 @@
     async def _async_misbehave(self, request: web.Request) -> web.Response | None:
         """Return the answer that the trouble prescribes, if any."""
         self.calls.append(request.path)
+        await asyncio.sleep(self.trouble.delay_s)
         if self.trouble.is_silent:
             await asyncio.sleep(3600)
         if self.trouble.status:
