--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,7 @@
 _PAUSE_S = 0.15
 _LOOK_S = 0.2
 _EXAM_S = 2.0
+# More than a cold server and its neighbours bear.
 _BURST = 100
 
 
@@ -83,21 +84,31 @@
         leaving, zone = self._choose_absent()
         world.drain(leaving)
         world.publisher.take_zone_out(zone)
-        world.moving = other_service(world.moving)
-        world.publish()
         changed = world.now
-        await asyncio.sleep(RECOVERY_S - CALM_S)
+        await self._async_check_configuration()
+        await asyncio.sleep(changed + RECOVERY_S - CALM_S - world.now)
         self._must_serve = True
         await asyncio.sleep(_EXAM_S)
         self._must_serve = False
         cold = next(x for x in world.sides if x.zone != zone and x is not leaving)
         world.start_server(cold, is_cold=True)
         await asyncio.sleep(COLD_NOTICE_S)
-        await self._async_burst(PORTS[cold.server.service])
+        await self._async_burst(PORTS[cold.server.service], _BURST)
         out = [each for each in world.sides if each.zone == zone]
         self._checks.look()
         self._checks.check_no_openings(changed + DRAIN_BOUND_S, [leaving], "drain")
         self._checks.check_no_openings(changed + ZONE_BOUND_S, out, "zone")
+        # By its end, requests of the time when all must be answered have ended.
+        await self._async_check_configuration()
+
+    async def _async_check_configuration(self) -> None:
+        """Lead the moving route elsewhere, and open flows once that is in force."""
+        world = self._world
+        world.moving = other_service(world.moving)
+        world.publish()
+        changed = world.now
+        await asyncio.sleep(CONFIGURATION_BOUND_S)
+        await self._async_burst(MOVING_PORT, CALLERS_PER_SERVICE)
         self._checks.check_moving_route(changed + CONFIGURATION_BOUND_S)
 
     def _choose_absent(self) -> tuple[Side, str]:
@@ -110,9 +121,9 @@
                     return leaving, zone
         return sides[0], ""
 
-    async def _async_burst(self, port: int) -> None:
-        """Open many flows at once, more than a cold server bears."""
-        callers = [self._world.caller(port) for _ in range(_BURST)]
+    async def _async_burst(self, port: int, flows: int) -> None:
+        """Open flows at once."""
+        callers = [self._world.caller(port) for _ in range(flows)]
         await asyncio.gather(*(each.async_open() for each in callers))
 
     async def _async_look(self) -> None:
