--- a/soak/world.py
+++ b/soak/world.py
@@ -32,6 +32,8 @@
 from .schedule import zone_of
 
 _ROUTER_NOTICE_S = 1.0
+# Each pair of a balancer and a companion takes two sockets of the soak.
+_MOST_BALANCERS = 16
 
 
 @attrs.define(eq=False)
@@ -70,7 +72,7 @@
     def __init__(
         self, network: int, folder: Path, seed: int, processes: int, prelude: str
     ) -> None:
-        """Describe a fleet; a third of its processes are balancers."""
+        """Describe a fleet; a third of its processes are balancers, 16 at most."""
         self.random = random.Random(seed)
         self.store = PlatformStore()
         self.publisher = Publisher(self.store)
@@ -82,7 +84,7 @@
         self._prefix = f"127.{network}"
         self._folder = folder
         self._prelude = prelude
-        self._balancers = max(2, processes // 3)
+        self._balancers = min(_MOST_BALANCERS, max(2, processes // 3))
         self._companions = max(4, processes - self._balancers)
         self._network = LoopbackNetwork()
         self._names = iter(range(1_000_000))
