--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -191,6 +191,14 @@
         self.network.silence(host)
         self.network.listen((host, SERVER_PORT), server.receive)
 
+    def restart_companions(self, with_servers: bool = False) -> None:
+        """Start all companions again; their servers lose their flows if they do too."""
+        for host, server in self.servers.items():
+            if with_servers:
+                server.crash()
+            self.stop_companion(host)
+            self.start_companion(host)
+
     def listing(self, version: int = 1, service: str = SERVICE) -> Listing:
         """Return what the store would list, with the route's service."""
         route = Route(
--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -154,10 +154,7 @@
             fleet = FlowFleet()
             caller = fleet.caller()
             await caller.async_request(b"one")
-            for host, server in fleet.servers.items():
-                server.crash()
-                fleet.stop_companion(host)
-                fleet.start_companion(host)
+            fleet.restart_companions(with_servers=True)
             self.assertIsNone(await caller.async_ask(b"two", 1))
 
         run_in_virtual_time(async_run())
@@ -167,10 +164,7 @@
         fleet = FlowFleet()
         caller = fleet.caller()
         await caller.async_request(b"one")
-        for host, server in fleet.servers.items():
-            server.crash()
-            fleet.stop_companion(host)
-            fleet.start_companion(host)
+        fleet.restart_companions(with_servers=True)
         fleet.start_balancer("192.0.2.200")
         return fleet, caller
 
@@ -200,11 +194,8 @@
             await caller.async_request(b"one")
             await asyncio.sleep(30)
             now_ms = int(fleet.clock.now().timestamp() * 1000)
-            for host, server in fleet.servers.items():
-                server.crash()
-                fleet.stop_companion(host)
-                fleet.started_ms[host] = now_ms - 200
-                fleet.start_companion(host)
+            fleet.started_ms = dict.fromkeys(fleet.servers, now_ms - 200)
+            fleet.restart_companions(with_servers=True)
             fleet.start_balancer("192.0.2.200")
             self.assertIsNone(await caller.async_ask(b"two", 1))
             self.assertEqual([s.strays for s in fleet.servers.values()], [[], [], []])
@@ -222,9 +213,7 @@
             caller = fleet.caller()
             await caller.async_request(b"one")
             await asyncio.sleep(1)
-            for host in fleet.servers:
-                fleet.stop_companion(host)
-                fleet.start_companion(host)
+            fleet.restart_companions()
             fleet.start_balancer("192.0.2.200")
             self.assertEqual(await caller.async_ask(b"two"), b"answer to two")
 
@@ -252,10 +241,7 @@
             fleet = FlowFleet(servers=4)
             caller = fleet.caller()
             await caller.async_request(b"one")
-            for host, server in fleet.servers.items():
-                server.crash()
-                fleet.stop_companion(host)
-                fleet.start_companion(host)
+            fleet.restart_companions(with_servers=True)
             fleet.start_balancer("192.0.2.200", is_listed=False)
             fleet.directory().replace(fleet.listing(2, "certificate-desk"))
             with self.assertRaises(TimeoutError):
--- a/harness/tests/test_flow_path.py
+++ b/harness/tests/test_flow_path.py
@@ -42,9 +42,7 @@
             fleet = FlowFleet()
             caller = fleet.caller()
             await caller.async_request(b"one")
-            for host in fleet.servers:
-                fleet.stop_companion(host)
-                fleet.start_companion(host)
+            fleet.restart_companions()
             self.assertEqual(await caller.async_ask(b"two"), b"answer to two")
             fleet.start_balancer("192.0.2.200")
             self.assertEqual(await caller.async_ask(b"three"), b"answer to three")
@@ -59,9 +57,7 @@
             fleet = FlowFleet(servers=4)
             caller = fleet.caller()
             await caller.async_request(b"one")
-            for host in fleet.servers:
-                fleet.stop_companion(host)
-                fleet.start_companion(host)
+            fleet.restart_companions()
             fleet.start_balancer("192.0.2.200")
             self.assertEqual(await caller.async_ask(b"two"), b"answer to two")
 
