Let a denial count by the companion's address

Servers register anew in those seconds, under new identities at the same addresses. A lookup remembered whom it had asked by the view of the server; the answer came from the view of the server's successor, so the question stayed open until the caller's next packet. The address now stands for the companion.

The new test fails before: all servers register anew 2.5 ms after a packet.

Suspected, not shown: the budget of second stages, about 36 dead flows a second and balancer.

Conclusion: kept as a mend.

--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -3,9 +3,11 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from harness.flow_fleet import FlowFleet
 from harness.virtual_time import run_in_virtual_time
-from pomelotrail_core.directory import Listing, RemovedItem
+from pomelotrail_core.directory import Listing, RemovedItem, ServerItem
 from stand_ins.flows import StandInCaller
 
 
@@ -202,6 +204,33 @@
 
         run_in_virtual_time(async_run())
 
+    def test_servers_that_register_during_a_lookup(self) -> None:
+        """Their companions' denials count, whatever identity the servers have."""
+
+        async def async_run() -> None:
+            """Give all servers new identities 2 ms after the packet."""
+            fleet, caller = await self.async_crash_everything()
+            asking = asyncio.create_task(caller.async_ask(b"two", 1))
+            await asyncio.sleep(0.0025)
+            listed = fleet.listing()
+            renamed = [
+                ServerItem(
+                    msgspec.structs.replace(
+                        each.server,
+                        identity=f"new-{each.server.identity}",
+                        revision=each.server.revision + 50,
+                    )
+                )
+                for each in listed.items
+                if isinstance(each, ServerItem)
+            ]
+            fleet.directory().apply(Listing(tuple(renamed), listed.revision))
+            # Another flow is placed, which makes the balancer view the new servers.
+            await fleet.caller().async_open()
+            self.assertIsNone(await asking)
+
+        run_in_virtual_time(async_run())
+
     def test_companion_that_started_after_its_server(self) -> None:
         """An earlier companion may have let flows in, which the server still holds."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -204,10 +204,10 @@
         record.asked = set()
         for service in services:
             own = [each for each in holders if each.server.service == service]
-            record.asked.update(self._companions.preferred(record.flow, own))
-        for companion in record.asked:
-            self._ask(record, companion)
-        rest = [each for each in holders if each not in record.asked]
+            for companion in self._companions.preferred(record.flow, own):
+                self._ask(record, companion)
+                record.asked.add(companion.fleet)
+        rest = [each for each in holders if each.fleet not in record.asked]
         record.unasked = [*rest, *self._companions.left()]
 
     def _ask_rest(self, record: FlowRecord, packet: Packet) -> None:
@@ -226,7 +226,7 @@
         for companion in unasked:
             self._ask(record, companion)
             if not self._directory.has_left(companion.server):
-                record.asked.add(companion)
+                record.asked.add(companion.fleet)
         self._end_if_denied(record)
 
     def _ask(self, record: FlowRecord, companion: CompanionView) -> None:
@@ -251,9 +251,13 @@
         if companion.server.service in {share.service for share in shares}:
             self._forward(record.sought, companion, Mark.LOOKUP)
 
-    def _note_denial(self, record: FlowRecord, companion: CompanionView) -> None:
-        """Note that a companion denied a flow; the last one ends the lookup."""
-        record.asked.discard(companion)
+    def _note_denial(self, record: FlowRecord, sender: Address) -> None:
+        """Note that a companion denied a flow; the last one ends the lookup.
+
+        Its address stands for it, since its server may have got another identity
+        since the question, and one that had the address before is gone.
+        """
+        record.asked.discard(sender)
         if not record.asked and record.unasked and record.sought is not None:
             self._ask_rest(record, record.sought)
         else:
@@ -298,7 +302,7 @@
         record = self._flows.get(flow, now)
         if record is None or companion is None:
             return
-        self._note_denial(record, companion)
+        self._note_denial(record, sender)
         if companion in record.takers:
             record.takers.remove(companion)
         if record.owner is not companion:
--- a/soak/world.py
+++ b/soak/world.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import time
+from collections import defaultdict
 from pathlib import Path
 
 import attrs
@@ -32,6 +33,7 @@
 from .schedule import zone_of
 
 _ROUTER_NOTICE_S = 1.0
+_RESTART_DELAY_S = 0.3
 # Each pair of a balancer and a companion takes two sockets of the soak.
 _MOST_BALANCERS = 16
 
@@ -90,6 +92,7 @@
         self._names = iter(range(1_000_000))
         self.ports = free_ports(f"{self._prefix}.2.1")
         self._servers: list[asyncio.Server] = []
+        self._restarts: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._callers: CallerHost | None = None
 
     @property
@@ -164,17 +167,9 @@
 
     async def async_restart(self, process: RoleProcess, number: signal.Signals) -> None:
         """End a process by a signal and start it again, as the platform does."""
-        entry = next((each for each in self.entries if each.process is process), None)
-        if entry is not None:
-            is_polite = number is signal.SIGTERM
-            entry.usable_until = self.now + (_ROUTER_NOTICE_S if is_polite else 0)
-        if process.is_running:
-            process.send_signal(signal.SIGCONT)
-        await process.async_stop(number)
-        await asyncio.sleep(0.3)
-        await process.async_start()
-        if entry is not None:
-            entry.usable_from, entry.usable_until = self.now + _ROUTER_NOTICE_S, None
+        # Restarts that overlap would start two processes at one address.
+        async with self._restarts[process.name]:
+            await self._async_restart(process, number)
 
     async def async_reuse_address(self, side: Side, service: str) -> None:
         """Give the VM of a backend server that crashed to another service."""
@@ -189,6 +184,22 @@
         """Tell whether some backend server holds a caller's flow."""
         return any(each.server.holds_flow(flow, expected) for each in self.sides)
 
+    async def _async_restart(
+        self, process: RoleProcess, number: signal.Signals
+    ) -> None:
+        """End a process, and start it after the platform's short delay."""
+        entry = next((each for each in self.entries if each.process is process), None)
+        if entry is not None:
+            is_polite = number is signal.SIGTERM
+            entry.usable_until = self.now + (_ROUTER_NOTICE_S if is_polite else 0)
+        if process.is_running:
+            process.send_signal(signal.SIGCONT)
+        await process.async_stop(number)
+        await asyncio.sleep(_RESTART_DELAY_S)
+        await process.async_start()
+        if entry is not None:
+            entry.usable_from, entry.usable_until = self.now + _ROUTER_NOTICE_S, None
+
     def _pick_entry(self) -> tuple[str, int]:
         """Return any balancer that the routers use, for each packet anew."""
         now = self.now
