--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -70,6 +70,8 @@
             outcome = await async_run_seed(
                 seed, faults, network, options.processes, prelude, logs
             )
+        except TimeoutError:
+            outcome = Outcome(seed, ["0.00 a process did not get ready"], {}, 0, [])
         finally:
             free.put_nowait(network)
         report(outcome, faults, logs, options)
