Ask companions for many flows in one message, and everybody before a reset

The balancer that got its packets did not know that server yet: all companions that it knew denied the flow, the check of the store's revision then found the directory behind and made it read on, and once it had caught up the lookup ended. The server that had just become known was never asked. Two more holes of the same kind, found while reading: a check whose call to the store had begun before the lookup counted for it, and a denial counted for whichever server had the address when it arrived.

Ruled out: a wrong denial by the owner's companion. It answers "unsure" while the end of the handshake is on its way.

Change: denials are kept by server identity; when all have denied and the store's revision, read after the lookup began, is reached, those servers that became known meanwhile are asked too, and only then the flow is reset. One message asks for up to 72 flows, companions that don't answer are asked again without a packet of the caller, and lookups beyond the budget wait and share the next messages instead of starting anew. Lookups stand in a module of their own. Companions log requests that got no answer from their server.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -1,6 +1,5 @@
 """The datapath of a balancer for flows whose packets don't name their owner."""
 
-import asyncio
 from datetime import timedelta
 
 from pomelotrail_balancer.placement import Companions, CompanionView, PlacementPolicy
@@ -12,26 +11,20 @@
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import Mark, Packet, PacketCodec, flow_text
 from pomelotrail_core.offers import (
-    Lookup,
     LookupMiss,
+    LookupReply,
     OfferReply,
     Owner,
     Ping,
     Pong,
-    Unsure,
     decode,
     encode,
 )
 
-from .const import (
-    LOOKUP_INTERVAL,
-    LOOKUP_STAGE,
-    MAX_HELD_PACKETS,
-    MILLISECOND,
-    PING_INTERVAL,
-)
+from .const import PING_INTERVAL
 from .early_packets import EarlyPackets
-from .flow_table import FlowRecord, FlowTable
+from .flow_table import FlowTable
+from .lookups import FlowLookup, Lookups
 from .message_budget import MessageBudget
 from .opening_queue import OpeningQueue
 from .openings import Openings
@@ -42,12 +35,8 @@
 class FlowBalancer:
     """Hands each packet to the companion that owns its flow.
 
-    Companions hold the truth; this table is a cache of it. For a packet of an
-    unknown flow, the companions are asked that it was probably offered to, then all
-    others, and the owner answers. A flow is reset only when every one of them has
-    said that its backend server doesn't hold it, and the store that there are no
-    others. Companions of servers that have left are asked too, but most of them are
-    gone, so the flow doesn't wait for their word.
+    Companions hold the truth; this table is a cache of it. The owner of a flow
+    that it doesn't hold is looked up, and a flow that nobody holds is reset.
     """
 
     def __init__(
@@ -71,7 +60,6 @@
         those to likely owners.
         """
         self._directory = directory
-        self._check = check
         self._companions = companions
         self._codec = codec
         self._clock = clock
@@ -81,10 +69,21 @@
         self._send_packet = send_packet
         self._send_message = send_message
         self._flows = FlowTable()
-        self._budget = MessageBudget(lookups_per_s, clock.monotonic())
         self._early = EarlyPackets()
         self._queue = OpeningQueue(clock, log, counters, self._open)
-        self._ending: set[asyncio.Task] = set()
+        self._lookups = Lookups(
+            directory,
+            check,
+            companions,
+            clock,
+            log,
+            counters,
+            MessageBudget(lookups_per_s, clock.monotonic()),
+            send_message,
+            self._probe,
+            self._send_held,
+            self._end_dead,
+        )
         self._openings = Openings(
             directory,
             companions,
@@ -122,7 +121,7 @@
             for taker in record.takers:
                 self._forward(packet, taker, Mark.LOOKUP)
         else:
-            self._look_up(packet, record, now)
+            self._lookups.seek(packet)
 
     def receive_message(self, data: bytes, sender: Address) -> None:
         """Take a message of a companion."""
@@ -130,11 +129,12 @@
             case OfferReply() as reply:
                 self._openings.receive(reply, sender)
             case Owner(flow):
-                self._learn_owner(flow, sender)
-            case Unsure(flow):
-                self._probe(flow, sender)
+                self._note_owner(flow, sender)
+            case LookupReply() as reply:
+                self._note_unsettled(reply.unsettled_ms)
+                self._lookups.receive(reply, sender)
             case LookupMiss(flow, packet, unsettled_ms):
-                self._directory.note_unsettled(timedelta(milliseconds=unsettled_ms))
+                self._note_unsettled(unsettled_ms)
                 self._note_miss(flow, packet, sender)
             case Pong() as pong:
                 self._note_back(pong, sender)
@@ -159,6 +159,7 @@
         now = self._clock.monotonic()
         flow = packet.caller_flow
         record = self._flows.get(flow, now) or self._flows.add(flow, now)
+        self._lookups.cancel(flow)
         self._openings.open(packet, record)
 
     def _forward(self, packet: Packet, companion: CompanionView, mark: Mark) -> None:
@@ -167,142 +168,38 @@
         self._send_packet(labelled, companion.packets)
         self._counters.add("packets_forwarded")
 
-    def _look_up(self, packet: Packet, record: FlowRecord, now: timedelta) -> None:
-        """Ask who owns a flow, and hold its packets meanwhile."""
-        if record.looked_up is not None and now - record.looked_up < LOOKUP_INTERVAL:
-            if len(record.held) < MAX_HELD_PACKETS:
-                record.held.append(packet)
-            return
-        route = self._directory.route(packet.receiver)
-        if route is None:
-            self._counters.add("packets_without_route")
-            return
-        record.held = []
-        record.looked_up = now
-        record.sought = packet
-        self._counters.add("lookups")
-        self._ask_preferred(record, {share.service for share in route.shares})
-        self._log.write(
-            _PART,
-            "looked_up",
-            flow=flow_text(record.flow),
-            asked=len(record.asked),
-            unasked=len(record.unasked),
-            version=self._directory.version,
-            revision=self._directory.revision,
-        )
-        loop = asyncio.get_running_loop()
-        loop.call_later(LOOKUP_STAGE.total_seconds(), self._ask_rest, record, packet)
-
-    def _ask_preferred(self, record: FlowRecord, services: set[str]) -> None:
-        """Ask the companions that the flow was probably offered to first.
+    def _probe(self, packet: Packet, companion: CompanionView) -> None:
+        """Let the backend server of a companion tell whether it holds a flow."""
+        self._forward(packet, companion, Mark.LOOKUP)
 
-        The others are asked later, those of other services too: the flow may be
-        older than the configuration that leads its route to these.
-        """
-        holders = self._companions.holders()
-        record.asked = set()
-        for service in services:
-            own = [each for each in holders if each.server.service == service]
-            for companion in self._companions.preferred(record.flow, own):
-                self._ask(record, companion)
-                record.asked.add(companion.fleet)
-        rest = [each for each in holders if each.fleet not in record.asked]
-        record.unasked = [*rest, *self._companions.left()]
-
-    def _ask_rest(self, record: FlowRecord, packet: Packet) -> None:
-        """Ask everybody else, unless the lookup has ended or begun anew.
-
-        Companions of servers that have left are asked, but not waited for.
-        """
-        if record.sought is not packet or record.owner is not None:
-            return
-        now = self._clock.monotonic()
-        if not self._budget.take(len(record.unasked), now):
-            self._counters.add("lookups_postponed")
-            record.sought = None
-            return
-        unasked, record.unasked = record.unasked, []
-        for companion in unasked:
-            self._ask(record, companion)
-            if not self._directory.has_left(companion.server):
-                record.asked.add(companion.fleet)
-        self._end_if_denied(record)
-
-    def _ask(self, record: FlowRecord, companion: CompanionView) -> None:
-        """Ask one companion whether it owns a flow."""
-        unsettled_ms = self._directory.unsettled_for // MILLISECOND
-        server = companion.server
-        message = Lookup(record.flow, server.service, unsettled_ms, server.started_ms)
-        self._send_message(encode(message), companion.fleet)
-
-    def _probe(self, flow: bytes, sender: Address) -> None:
-        """Let the backend server of a companion that is unsure tell.
-
-        A server of another service than those of the route gets nothing, so its
-        companion's doubt stands, and the flow isn't reset.
-        """
-        companion = self._companions.at(sender)
-        record = self._flows.get(flow, self._clock.monotonic())
-        if record is None or companion is None or record.sought is None:
-            return
-        route = self._directory.route(record.sought.receiver)
-        shares = route.shares if route is not None else ()
-        if companion.server.service in {share.service for share in shares}:
-            self._forward(record.sought, companion, Mark.LOOKUP)
-
-    def _note_denial(self, record: FlowRecord, sender: Address) -> None:
-        """Note that a companion denied a flow; the last one ends the lookup.
-
-        Its address stands for it, since its server may have got another identity
-        since the question, and one that had the address before is gone.
-        """
-        record.asked.discard(sender)
-        if not record.asked and record.unasked and record.sought is not None:
-            self._ask_rest(record, record.sought)
-        else:
-            self._end_if_denied(record)
-
-    def _end_if_denied(self, record: FlowRecord) -> None:
-        """End a lookup that everybody has denied."""
-        sought = record.sought
-        if sought is None or record.asked or record.unasked or record.owner is not None:
-            return
-        record.sought = None
-        task = asyncio.create_task(self._async_end(record, sought))
-        self._ending.add(task)
-        task.add_done_callback(self._ending.discard)
-
-    async def _async_end(self, record: FlowRecord, sought: Packet) -> None:
-        """Reset a flow that nobody holds, if nobody was left out."""
-        is_complete = await self._check.async_is_complete()
-        if is_complete and record.owner is None and not record.takers:
-            self._reset(sought, "nobody_holds_it")
-            self._flows.remove(record.flow)
-
-    def _learn_owner(self, flow: bytes, sender: Address) -> None:
-        """Send what waits, and what follows, to the owner."""
+    def _note_owner(self, flow: bytes, sender: Address) -> None:
+        """Note that a companion holds a flow, whether or not it was looked up."""
         companion = self._companions.at(sender)
         record = self._flows.get(flow, self._clock.monotonic())
         if record is None or companion is None:
             return
-        sought, record.sought = record.sought, None
+        if not self._lookups.find(flow, companion):
+            record.owner = companion
+            record.takers = [companion]
+
+    def _send_held(self, lookup: FlowLookup, companion: CompanionView) -> None:
+        """Send what waited, and what follows, to the owner."""
+        now = self._clock.monotonic()
+        flow = lookup.flow
+        record = self._flows.get(flow, now) or self._flows.add(flow, now)
         record.owner = companion
         record.takers = [companion]
-        held, record.held = record.held, []
-        if sought is not None:
-            held.insert(0, sought)
-        for packet in held:
+        for packet in (lookup.sought, *lookup.held):
             self._forward(packet, companion, Mark.OWNED)
 
     def _note_miss(self, flow: bytes, data: bytes, sender: Address) -> None:
-        """Look a flow up again whose supposed owner doesn't hold it."""
+        """Look a flow up whose supposed owner doesn't hold it."""
         now = self._clock.monotonic()
+        self._lookups.note_returned(flow, sender)
         companion = self._companions.at(sender)
         record = self._flows.get(flow, now)
         if record is None or companion is None:
             return
-        self._note_denial(record, sender)
         if companion in record.takers:
             record.takers.remove(companion)
         if record.owner is not companion:
@@ -311,8 +208,17 @@
         identity = companion.server.identity
         self._log.write(_PART, "owner_denied", flow=flow_text(flow), server=identity)
         packet = self._codec.decode(data)
-        if packet is not None:
-            self._look_up(packet, record, now)
+        if packet is not None and not record.takers:
+            self._lookups.seek(packet)
+
+    def _end_dead(self, packet: Packet) -> None:
+        """Reset a flow that nobody holds."""
+        self._reset(packet, "nobody_holds_it")
+        self._flows.remove(packet.caller_flow)
+
+    def _note_unsettled(self, unsettled_ms: int) -> None:
+        """Take what a companion heard of an outage of the store."""
+        self._directory.note_unsettled(timedelta(milliseconds=unsettled_ms))
 
     def _note_back(self, pong: Pong, sender: Address) -> None:
         """Trust a companion that answers again."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/const.py
@@ -31,8 +31,25 @@
 LOOKUP_MESSAGES_PER_MBIT: Final = 350
 # What the smallest VM served today carries beside its packets.
 LEAST_LOOKUP_MESSAGES_PER_S: Final = 150.0
-# Callers send lost packets again after 200 ms and more.
+# Packets that arrive together are read within this time; their flows share messages.
+GATHERING: Final = timedelta(milliseconds=2)
+# 12 bytes and their frame a flow; with these a message stays below 1,200 bytes.
+FLOWS_PER_QUESTION: Final = 72
+# So many more flows cost a message as much as another message of one flow.
+FLOWS_PER_MESSAGE_UNIT: Final = 8
+# Companions answer in milliseconds, slowed ones and slow links within a second.
+ANSWER_LIFETIME: Final = timedelta(seconds=2)
+# Callers send lost packets again after 200 ms and more; a companion that is asked
+# again sooner would be asked before it had a chance to start.
 LOOKUP_INTERVAL: Final = timedelta(milliseconds=150)
+# A failed check cost a call to the store; the next one waits this long.
+CHECK_RETRY: Final = timedelta(milliseconds=400)
+# Callers repeat a packet within 1.6 s while they wait for its answer.
+LOOKUP_LIFETIME: Final = timedelta(seconds=2)
+# At 200 servers a lookup takes up to 16 KB; these bound the memory to 8 MB.
+MAX_LOOKUPS: Final = 500
+# A caller takes a reset that is this near to what it expects.
+MAX_POSITION_STEP: Final = 76_800
 # Ends have at most 16 packets in flight.
 MAX_HELD_PACKETS: Final = 16
 # Flows that send nothing for this long are looked up again if they return.
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/flow_table.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/flow_table.py
@@ -7,8 +7,6 @@
 import msgspec
 
 from pomelotrail_balancer.placement import CompanionView
-from pomelotrail_core.datagram_callback import Address
-from pomelotrail_core.flows import Packet
 
 from .const import IDLE_FLOW, MAX_FLOWS
 
@@ -17,10 +15,7 @@
     """What this balancer knows of one flow.
 
     ``takers`` accepted its opening; ``owner`` is known once it is the only one
-    or has said so; ``taken`` is when the last of them did. ``held`` packets wait
-    for the answer to a lookup.
-    The companions at the addresses ``asked`` have not answered the lookup of
-    ``sought`` yet, and ``unasked`` ones are asked if no owner is among them.
+    or has said so; ``taken`` is when the last of them did.
     """
 
     flow: bytes
@@ -29,11 +24,6 @@
     takers: list[CompanionView] = msgspec.field(default_factory=list)
     taken: timedelta | None = None
     opening: asyncio.Task | None = None
-    held: list[Packet] = msgspec.field(default_factory=list)
-    asked: set[Address] = msgspec.field(default_factory=set)
-    unasked: list[CompanionView] = msgspec.field(default_factory=list)
-    looked_up: timedelta | None = None
-    sought: Packet | None = None
 
 
 class FlowTable:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/message_budget.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/message_budget.py
@@ -25,9 +25,9 @@
     """A token bucket of one second's messages.
 
     Load pattern answered: after a power loss every open flow is looked up, and
-    nobody holds any. Asking all companions for each flow would fill a slow link
-    or processor and delay the flows that can be served; the rest is asked when
-    their callers repeat their packets.
+    nobody holds any. Asking all companions would fill a slow link or processor and
+    delay the flows that can be served; while the bucket is empty, lookups gather
+    and share the next messages.
     """
 
     def __init__(self, per_s: float, now: timedelta) -> None:
@@ -36,12 +36,13 @@
         self._tokens = per_s
         self._at = now
 
-    def take(self, messages: int, now: timedelta) -> bool:
-        """Take messages from the bucket, if it holds any."""
+    def has_tokens(self, now: timedelta) -> bool:
+        """Tell whether messages may be sent; the last ones may overdraw the bucket."""
         gained = (now - self._at) / _SECOND * self._per_s
         self._tokens = min(self._per_s, self._tokens + gained)
         self._at = now
-        if self._tokens <= 0:
-            return False
+        return self._tokens > 0
+
+    def spend(self, messages: float) -> None:
+        """Take the messages that were sent from the bucket."""
         self._tokens -= messages
-        return True
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/const.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Final
 
+MILLISECOND: Final = timedelta(milliseconds=1)
 # Callers give up an opening after 1.4 s.
 OPENING_TIMEOUT: Final = timedelta(milliseconds=1_500)
 # Between zones, packets need 3 ms each way; callers send their request with the
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
@@ -26,6 +26,7 @@
 
 from .cold_budget import ColdBudget
 from .const import (
+    MILLISECOND,
     SERVER_ANSWER_TIMEOUT,
     SWEEP_INTERVAL,
 )
@@ -113,10 +114,8 @@
         match decode(data):
             case Offer() as offer:
                 self._consider(offer, sender)
-            case Lookup(flow, service, unsettled_ms, server_started_ms):
-                self._ownership.outages.note(unsettled_ms)
-                self._ownership.note_server_start(server_started_ms)
-                self._ownership.answer(flow, service, sender)
+            case Lookup() as question:
+                self._ownership.answer(question, sender)
             case Ping(number):
                 load = self._book.load(self._clock.monotonic())
                 pong = Pong(number, load, len(self._book))
@@ -171,7 +170,8 @@
             await self._clock.async_sleep(SWEEP_INTERVAL)
             now = self._clock.monotonic()
             self._book.drop_unused_openings(now)
-            self._book.sweep(now)
+            for booked in self._book.sweep(now):
+                self._log_unanswered("request_timed_out", booked)
             self._release(now)
             self._ownership.sweep(now)
 
@@ -350,6 +350,7 @@
             if packet.size:
                 self._observe(self._gate.note_answer(booked, now))
             if packet.resets:
+                self._log_unanswered("reset_by_server", booked)
                 self._book.note_unanswered(booked, now)
             if packet.resets or packet.finishes:
                 self._end(booked)
@@ -358,6 +359,19 @@
         self._send_packet(packet.data, (host, self._addresses.callers_port))
         self._counters.add("packets_answered")
 
+    def _log_unanswered(self, event: str, booked: BookedFlow) -> None:
+        """Log that a flow got no answer, and how long its request has run."""
+        now = self._clock.monotonic()
+        self._log.write(
+            _PART,
+            event,
+            flow=flow_text(booked.flow),
+            running_ms=_milliseconds(booked.started, now),
+            asked_ms=_milliseconds(booked.asked, now),
+            occupancy=self._book.occupancy,
+            closed=booked.is_closed,
+        )
+
     def _end(self, booked: BookedFlow) -> None:
         """Note that the backend server ended a flow.
 
@@ -379,3 +393,8 @@
         """Count how long the backend server took for a request."""
         if duration is not None:
             self._counters.latency("server_seconds").observe(duration)
+
+
+def _milliseconds(since: timedelta | None, now: timedelta) -> int:
+    """Return the time since then, or -1 if there was no such moment."""
+    return (now - since) // MILLISECOND if since is not None else -1
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
@@ -181,16 +181,19 @@
             self._unanswered.append(now)
         self._end_request(booked)
 
-    def sweep(self, now: timedelta) -> None:
-        """Drop what has ended, and requests whose answer never came."""
+    def sweep(self, now: timedelta) -> list[BookedFlow]:
+        """Drop what has ended; return the flows whose request got no answer in time."""
+        unanswered = []
         for flow, booked in list(self._flows.items()):
             if now - booked.used >= _lifetime(booked):
                 self.remove(flow)
             elif booked.started is not None:
                 if now - booked.started >= RUNNING_TIMEOUT:
                     self.note_unanswered(booked, now)
+                    unanswered.append(booked)
             elif booked.asked is not None and now - booked.asked >= REQUEST_TIMEOUT:
                 self._end_request(booked)
+        return unanswered
 
     def _add(self, booked: BookedFlow) -> None:
         """Keep a flow, dropping the oldest where there are too many."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/ownership.py
@@ -10,7 +10,7 @@
 from pomelotrail_core.datagram_callback import Address, Send
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import Mark, Packet, PacketCodec
-from pomelotrail_core.offers import FleetMessage, LookupMiss, Owner, Unsure, encode
+from pomelotrail_core.offers import Lookup, LookupMiss, LookupReply, Owner, encode
 
 from .const import LOADING_TIME, LONGEST_FLOW, PROBE_INTERVAL, SWEEP_INTERVAL
 from .flow_book import FlowBook
@@ -79,15 +79,27 @@
         self._knows_all_flows = True
         self._log.write("ownership", "knows_all_flows", server_started=str(started))
 
-    def answer(self, flow: bytes, service: str, balancer: Address) -> None:
-        """Answer a lookup."""
-        booked = self._book.get(flow)
-        answer: FleetMessage = LookupMiss(flow, b"", self.outages.unsettled_ms)
-        if booked is not None and booked.is_open:
-            answer = Owner(flow)
-        elif service == self._service and (booked or not self._knows_flows()):
-            answer = Unsure(flow)
-        self._send_message(encode(answer), balancer)
+    def answer(self, question: Lookup, balancer: Address) -> None:
+        """Answer a lookup.
+
+        A question about a server of another service is about an earlier one at this
+        address, which holds nothing any more.
+        """
+        self.outages.note(question.unsettled_ms)
+        self.note_server_start(question.server_started_ms)
+        is_own = question.service == self._service
+        owned = []
+        unsure = []
+        for place, flow in enumerate(question.flows):
+            booked = self._book.get(flow)
+            if booked is not None and booked.is_open:
+                owned.append(place)
+            elif is_own and (booked is not None or not self._knows_flows()):
+                unsure.append(place)
+        reply = LookupReply(
+            question.number, tuple(owned), tuple(unsure), self.outages.unsettled_ms
+        )
+        self._send_message(encode(reply), balancer)
 
     def receive_unknown(self, packet: Packet, balancer: Address) -> None:
         """Let the backend server answer for a flow, or deny it."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
@@ -19,7 +19,7 @@
     Evidence that nobody holds a flow is complete only if everybody was asked.
     Checks that are asked for together share a call::
 
-        if await check.async_is_complete():
+        if await check.async_is_complete(since=clock.monotonic()):
             ...
     """
 
@@ -40,22 +40,42 @@
         self._clock = clock
         self._running: asyncio.Task[bool] | None = None
         self._next = clock.monotonic()
+        self._asked: timedelta | None = None
+        self._covered: timedelta | None = None
+        self._revision = 0
 
-    async def async_is_complete(self) -> bool:
-        """Tell whether the directory has all changes; False if unknown."""
+    async def async_is_complete(self, since: timedelta) -> bool:
+        """Tell whether the directory has all changes until a time; False if unknown.
+
+        An answer of the source counts for all times before it was asked.
+        """
         if self._directory.may_lack_entries:
             return False
-        if self._running is None or self._running.done():
-            self._running = asyncio.create_task(self._async_check())
-        return await asyncio.shield(self._running)
+        while not self._is_known(since):
+            running = self._running
+            if running is None or running.done():
+                running = self._running = asyncio.create_task(self._async_check())
+            is_in_time = self._asked is None or self._asked >= since
+            is_complete = await asyncio.shield(running)
+            if is_in_time and not is_complete:
+                return False
+        return not self._directory.may_lack_entries
+
+    def _is_known(self, since: timedelta) -> bool:
+        """Tell whether an earlier answer covers a time."""
+        is_covered = self._covered is not None and self._covered >= since
+        return is_covered and self._directory.revision >= self._revision
 
     async def _async_check(self) -> bool:
         """Make one call, and no other one soon after."""
+        self._asked = None
         pause = self._next - self._clock.monotonic()
         await self._clock.async_sleep(max(pause, CHECK_INTERVAL))
-        self._next = self._clock.monotonic() + CHECK_PAUSE
+        self._asked = asked = self._clock.monotonic()
+        self._next = asked + CHECK_PAUSE
         match await self._source.async_revision(CHECK_TIMEOUT):
             case Ok(revision):
+                self._covered, self._revision = asked, revision
                 return await self._async_reaches(revision)
             case Err(error):
                 self._directory.note_unchecked(str(error))
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -70,32 +70,40 @@
 
 
 class Lookup(_Message, tag=7):
-    """A balancer asks whether the receiver's backend server holds a flow.
+    """A balancer asks which of some flows the receiver's backend server holds.
 
     ``server_started_ms`` is when that server started, by its entry; 0 if unknown.
     """
 
-    flow: bytes
+    number: int
     service: str
+    flows: tuple[bytes, ...]
     unsettled_ms: int = 0
     server_started_ms: int = 0
 
 
-class Unsure(_Message, tag=8):
-    """The sender started after flows that its backend server may hold.
+class LookupReply(_Message, tag=8):
+    """The answer to a lookup; flows are named by their place in the question.
 
-    Only the backend server can tell, when it is given a packet of the flow.
+    The sender's backend server holds those ``owned`` and may hold the ``unsure``
+    ones: the sender started after flows that its server may hold, and only the server
+    can tell, when it is given a packet. The sender is certain that its server holds
+    none of the others. ``unsettled_ms`` is what balancers told the sender, less the
+    time since.
     """
 
-    flow: bytes
+    number: int
+    owned: tuple[int, ...]
+    unsure: tuple[int, ...]
+    unsettled_ms: int = 0
 
 
 class LookupMiss(_Message, tag=4):
-    """The sender's backend server doesn't hold the flow.
+    """The sender's backend server doesn't hold the flow of a packet.
 
     The sender is certain: either it knows all flows that its server holds, or the
     server itself gave the packet back. ``packet`` is what was sent to the supposed
-    owner of the flow; it is empty for a lookup, which others got too.
+    owner of the flow; it is empty for a packet that was sent to find out.
     ``unsettled_ms`` is what balancers told the sender, less the time since.
     """
 
@@ -118,4 +126,6 @@
     flows: int
 
 
-FleetMessage = Offer | OfferReply | Owner | Lookup | Unsure | LookupMiss | Ping | Pong
+FleetMessage = (
+    Offer | OfferReply | Owner | Lookup | LookupReply | LookupMiss | Ping | Pong
+)
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -61,21 +61,21 @@
 
 def _reset_on_suspicion() -> None:
     """Reset a flow that the likely owners don't know."""
-    from pomelotrail_balancer.carrying import FlowBalancer
+    from pomelotrail_balancer.carrying.lookups import Lookups
 
-    def ask_rest(self: Any, record: Any, packet: Any) -> None:
+    def go_on(self: Any, lookup: Any, holders: Any, may_send: bool, now: Any) -> None:
         """Give up at once."""
-        if record.sought is packet and record.owner is None:
-            self._reset(packet, "suspicion")
+        self._pending.pop(lookup.flow)
+        self._died(lookup.sought)
 
-    FlowBalancer._ask_rest = ask_rest
+    Lookups._go_on = go_on
 
 
 def _forget_owners() -> None:
     """Look up nothing, so that flows end with their balancer's table."""
-    from pomelotrail_balancer.carrying import FlowBalancer
+    from pomelotrail_balancer.carrying.lookups import Lookups
 
-    FlowBalancer._look_up = lambda self, packet, record, now: None
+    Lookups.seek = lambda self, packet: None
 
 
 VARIANTS: Final[dict[str, Callable[[], None]]] = {
--- a/stand_ins/flows/ends.py
+++ b/stand_ins/flows/ends.py
@@ -36,6 +36,8 @@
         self.work_s = work_s
         self.accepts = True
         self.answers_openings = True
+        self.runs_repetitions = True
+        self._received: dict[bytes, int] = {}
         self.flows: dict[bytes, int] = {}
         self.openings: list[float] = []
         self.strays: list[bytes] = []
@@ -46,6 +48,10 @@
         self._send = network.sender(app)
         network.listen(app, self.receive)
 
+    def use_sequences_from(self, first: int) -> None:
+        """Accept further flows with other initial sequence numbers."""
+        self._sequence = itertools.count(first, 1_000)
+
     def crash(self) -> None:
         """Lose all flows and start again."""
         self.flows.clear()
@@ -85,10 +91,20 @@
         content = CODEC.content(packet)
         if not content:
             return
+        if not self.runs_repetitions and self._was_received(packet):
+            self._answer(packet, packet.acknowledged)
+            return
         self.ran.append(content)
         loop = asyncio.get_running_loop()
         loop.call_later(self.work_s, self._finish, packet, content)
 
+    def _was_received(self, packet: Packet) -> bool:
+        """Tell whether data came before, and note how far it reaches."""
+        end = packet.sequence + packet.size
+        received = self._received.get(packet.caller_flow, 0)
+        self._received[packet.caller_flow] = max(end, received)
+        return end <= received
+
     def _finish(self, packet: Packet, content: bytes) -> None:
         """Answer a request, if the flow is still there."""
         if packet.caller_flow in self.flows:
@@ -196,6 +212,12 @@
                 return CODEC.content(answer)
         raise TimeoutError("no answer")
 
+    def repeat(self, question: bytes) -> None:
+        """Send the last request once more, as if its answer had been lost."""
+        sequence = self._sequence - len(question)
+        packet = make_packet(self.own, self._service, sequence, self._expected)
+        self._emit(packet, question)
+
     async def async_request(self, question: bytes) -> bytes | None:
         """Open the flow and send one request."""
         return await self.async_ask(question) if await self.async_open() else None
