Take repetitions on relearnt flows for no requests

Cause: after all processes of ours were killed, long flows live on at their servers, and companions learn them anew. The packet that a balancer looks a flow up with is the caller's request itself: the server got it to find out, and then the companion counted the owner's copy of the same packet as a second request. It waited for a slot, or held one for two seconds, for an answer that never came; the next real request of that flow waited behind it. Slots and queues filled with such phantoms fed themselves with the callers' repetitions.

Ruled out: too few servers (load 200/s, capacity 525/s), processors (0.02 of a core), lookups (owners found in milliseconds).

Change: the packet that found a flow out is in progress from when the server got it; data that the server has acknowledged is a repetition.

--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
@@ -346,6 +346,7 @@
             booked = self._learn(flow, now)
         if booked is not None:
             booked.used = now
+            booked.acknowledged = packet.acknowledged
             booked.position = (packet.sequence + packet.size) % 2**32
             if packet.size:
                 self._observe(self._gate.note_answer(booked, now))
@@ -384,10 +385,18 @@
             self._give(packet)
 
     def _learn(self, flow: bytes, now: timedelta) -> BookedFlow:
-        """Note a flow that the backend server shows to hold."""
-        self._ownership.claim(flow)
+        """Note a flow that the backend server shows to hold.
+
+        A request that found that out is in progress there already.
+        """
+        probe = self._ownership.claim(flow)
         self._log.write(_PART, "flow_learnt", flow=flow_text(flow))
-        return self._book.learn(flow, now)
+        booked = self._book.learn(flow, now)
+        if probe is not None and probe.packet.size:
+            packet = probe.packet
+            self._book.note_caller_data(booked, packet.sequence, packet.size, now)
+            self._book.start(booked, probe.at)
+        return booked
 
     def _observe(self, duration: timedelta | None) -> None:
         """Count how long the backend server took for a request."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
@@ -44,6 +44,7 @@
     started: timedelta | None = None
     initial: int | None = None
     caller_end: int | None = None
+    acknowledged: int | None = None
     position: int = 0
     is_open: bool = False
     is_closed: bool = False
@@ -146,12 +147,14 @@
     def note_caller_data(
         self, booked: BookedFlow, sequence: int, size: int, now: timedelta
     ) -> None:
-        """Note data of the caller; data that was not sent before is a request."""
+        """Note data of the caller; data that was not sent before is a request.
+
+        Load pattern answered: after this process has started anew, callers repeat
+        what an earlier one had delivered. Taken for requests, repetitions would hold
+        slots and places in the queue for answers that never come.
+        """
         end = (sequence + size) % _SEQUENCE_RANGE
-        known = booked.caller_end
-        if known is not None and (end - known) % _SEQUENCE_RANGE >= 2**31:
-            return
-        if end == known:
+        if _reaches(booked.caller_end, end) or _reaches(booked.acknowledged, end):
             return
         booked.caller_end = end
         if booked.asked is None:
@@ -211,6 +214,11 @@
             self._running.pop(booked.flow, None)
 
 
+def _reaches(known: int | None, end: int) -> bool:
+    """Tell whether data is known up to an end, by sequence numbers that wrap."""
+    return known is not None and (known - end) % _SEQUENCE_RANGE < _SEQUENCE_RANGE // 2
+
+
 def _lifetime(booked: BookedFlow) -> timedelta:
     """Return how long a flow is kept without a packet."""
     if booked.is_closed:
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/ownership.py
@@ -17,12 +17,12 @@
 from .outage_news import OutageNews
 
 
-class _Probe(msgspec.Struct):
+class Probe(msgspec.Struct, frozen=True):
     """A packet of an unknown flow that the backend server was given."""
 
     at: timedelta
     balancer: Address
-    mark: int
+    packet: Packet
 
 
 class Ownership:
@@ -59,7 +59,7 @@
         self._give = give
         self._started = clock.monotonic()
         self.outages = OutageNews(clock)
-        self._probes: dict[bytes, _Probe] = {}
+        self._probes: dict[bytes, Probe] = {}
 
     def note_server_start(self, started_ms: int) -> None:
         """Take when the backend server started, by the same VM's time of day.
@@ -111,7 +111,7 @@
         probe = self._probes.get(flow)
         if probe is not None and now - probe.at < PROBE_INTERVAL:
             return
-        self._probes[flow] = _Probe(now, balancer, packet.mark)
+        self._probes[flow] = Probe(now, balancer, packet)
         self._give(packet)
         self._counters.add("probes")
 
@@ -119,13 +119,14 @@
         """Deny a flow whose probe the backend server returned."""
         probe = self._probes.pop(packet.caller_flow, None)
         if probe is not None:
-            self.deny(packet, probe.mark, probe.balancer)
+            self.deny(packet, probe.packet.mark, probe.balancer)
 
-    def claim(self, flow: bytes) -> None:
-        """Tell the balancer of a probe that the backend server holds its flow."""
+    def claim(self, flow: bytes) -> Probe | None:
+        """Tell the balancer of a probe that the server holds its flow; return it."""
         probe = self._probes.pop(flow, None)
         if probe is not None:
             self._send_message(encode(Owner(flow)), probe.balancer)
+        return probe
 
     def deny(self, packet: Packet, mark: int, balancer: Address) -> None:
         """Tell a balancer that the backend server doesn't hold a flow."""
--- a/stand_ins/flows/ends.py
+++ b/stand_ins/flows/ends.py
@@ -37,6 +37,7 @@
         self.accepts = True
         self.answers_openings = True
         self.runs_repetitions = True
+        self._last: tuple[Packet, bytes]
         self._received: dict[bytes, int] = {}
         self.flows: dict[bytes, int] = {}
         self.openings: list[float] = []
@@ -108,7 +109,13 @@
     def _finish(self, packet: Packet, content: bytes) -> None:
         """Answer a request, if the flow is still there."""
         if packet.caller_flow in self.flows:
-            self._answer(packet, packet.acknowledged, content=b"answer to " + content)
+            self._last = (packet, b"answer to " + content)
+            self.repeat_answer()
+
+    def repeat_answer(self) -> None:
+        """Send the last answer, once more if it was sent before."""
+        packet, content = self._last
+        self._answer(packet, packet.acknowledged, content=content)
 
     def _answer(
         self,
@@ -184,7 +191,12 @@
     def use_address(self, own: bytes) -> None:
         """Use an address, also that of another caller in its place."""
         self.own = own
-        self._host.register(own, self._arrived.put_nowait)
+        self._host.register(own, self._arrive)
+
+    def _arrive(self, packet: Packet) -> None:
+        """Keep what says something; bare acknowledgements don't."""
+        if packet.accepts or packet.resets or packet.size:
+            self._arrived.put_nowait(packet)
 
     async def async_open(self) -> bool:
         """Open the flow; False means that it was reset or not answered."""
