Let stand-in callers tell repeated answers from new ones

On a busy machine the caller repeated its first question, the stand-in server answered both copies, and the second answer was taken for the next question's.

Ruled out: an answer of another request carried by us; both packets answer the question that was asked twice.

Change: a caller passes over answers that confirm less than its question. A test that repeats a question on purpose replays it.

--- a/harness/tests/test_flow_path.py
+++ b/harness/tests/test_flow_path.py
@@ -19,6 +19,20 @@
 
         self.assertEqual(run_in_virtual_time(async_run()), b"answer to one")
 
+    def test_repeated_answer_is_not_taken_for_the_next(self) -> None:
+        """A caller that repeated its request on a busy machine gets two answers."""
+
+        async def async_run() -> None:
+            """Repeat a request that is under way."""
+            fleet = FlowFleet(servers=1)
+            caller = fleet.caller()
+            await caller.async_request(b"one")
+            caller.repeat(b"one")
+            await asyncio.sleep(0.1)
+            self.assertEqual(await caller.async_ask(b"two", 1), b"answer to two")
+
+        run_in_virtual_time(async_run())
+
     def test_flow_outlives_its_balancers(self) -> None:
         """A balancer without any table finds the owner."""
 
--- a/stand_ins/flows/ends.py
+++ b/stand_ins/flows/ends.py
@@ -242,6 +242,13 @@
         """Return what arrives next, or None."""
         try:
             async with asyncio.timeout(seconds):
-                return await self._arrived.get()
+                while True:
+                    packet = await self._arrived.get()
+                    if not self._is_repeated_answer(packet):
+                        return packet
         except TimeoutError:
             return None
+
+    def _is_repeated_answer(self, packet: Packet) -> bool:
+        """Tell whether a packet answers a question before the present one."""
+        return bool(packet.size) and packet.acknowledged <= self._sequence + 1
