Order relearnt and abandoned requests as their callers would

Cause: after a restart, a companion gave flows that it learnt anew the lowest priority and no target of their own, so they waited behind everything that was offered to it, although offers for the same service address tell their terms.

Ruled out: dropping abandoned requests. A caller may close its side and still read.

Change: terms are kept by service address; abandoned requests come last of all. Tests replay both orders.

--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
@@ -31,7 +31,7 @@
     SWEEP_INTERVAL,
 )
 from .departure import async_is_gone
-from .flow_book import BookedFlow, FlowBook
+from .flow_book import BookedFlow, FlowBook, RouteTerms
 from .ownership import Ownership
 from .request_gate import RequestGate
 
@@ -228,8 +228,8 @@
         if booked is None:
             booked = self._book.open(packet.caller_flow, balancer, offer.number, now)
         booked.balancer, booked.offer = balancer, offer.number
-        booked.priority = offer.priority
-        booked.target = timedelta(milliseconds=offer.target_ms)
+        target = timedelta(milliseconds=offer.target_ms)
+        self._book.note_terms(booked.flow, RouteTerms(offer.priority, target))
         self._budget.note(now)
         asyncio.get_running_loop().call_later(
             SERVER_ANSWER_TIMEOUT.total_seconds(), self._report_silence, booked
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
@@ -7,6 +7,7 @@
 
 from pomelotrail_companion.waiting.const import UNKNOWN_PRIORITY, UNKNOWN_TARGET
 from pomelotrail_core.datagram_callback import Address
+from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES
 
 from .const import (
     CLOSED_LINGER,
@@ -39,8 +40,6 @@
     balancer: Address
     opened: timedelta = timedelta()
     offer: int = 0
-    priority: int = UNKNOWN_PRIORITY
-    target: timedelta = UNKNOWN_TARGET
     started: timedelta | None = None
     initial: int | None = None
     caller_end: int | None = None
@@ -50,6 +49,19 @@
     is_closed: bool = False
 
 
+class RouteTerms(msgspec.Struct, frozen=True):
+    """What operators set for the requests of one service address.
+
+    ``priority`` 0 is the highest; ``target`` is the latency that they aim at.
+    """
+
+    priority: int = UNKNOWN_PRIORITY
+    target: timedelta = UNKNOWN_TARGET
+
+
+_UNKNOWN_TERMS = RouteTerms()
+
+
 class FlowBook:
     """All flows of the backend server beside this companion.
 
@@ -70,6 +82,7 @@
         self._asked = 0
         self._running: dict[bytes, BookedFlow] = {}
         self._unanswered: deque[timedelta] = deque()
+        self._terms: dict[bytes, RouteTerms] = {}
 
     def __len__(self) -> int:
         """Return the number of flows."""
@@ -108,6 +121,18 @@
         """Return a flow."""
         return self._flows.get(flow)
 
+    def note_terms(self, flow: bytes, terms: RouteTerms) -> None:
+        """Take the terms of a flow's service address, for all flows to it.
+
+        Load pattern answered: after a restart of this process, the flows that it
+        learns anew would otherwise wait behind all that were offered to it.
+        """
+        self._terms[flow[PACKED_ENDPOINT_BYTES:]] = terms
+
+    def terms(self, flow: bytes) -> RouteTerms:
+        """Return the terms of a flow's service address, as offered last."""
+        return self._terms.get(flow[PACKED_ENDPOINT_BYTES:], _UNKNOWN_TERMS)
+
     def open(
         self, flow: bytes, balancer: Address, offer: int, now: timedelta
     ) -> BookedFlow:
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/request_gate.py
@@ -51,7 +51,8 @@
         if self._has_free_slot():
             self._book.start(booked, now)
             return True
-        request = WaitingRequest(booked.flow, now, booked.priority, booked.target)
+        terms = self._book.terms(booked.flow)
+        request = WaitingRequest(booked.flow, now, terms.priority, terms.target)
         request.add(packet)
         self._queue.add(request)
         return False
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/tests/test_flow_book.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/tests/test_flow_book.py
@@ -11,6 +11,8 @@
     UNANSWERED_LOAD,
     UNANSWERED_MEMORY,
 )
+from pomelotrail_companion.doorway.flow_book import RouteTerms
+from pomelotrail_companion.waiting.const import UNKNOWN_PRIORITY
 
 _NOW = timedelta(seconds=5)
 
@@ -46,6 +48,22 @@
             self.book.note_caller_data(self.booked, start, 50, _NOW)
             self.assertEqual(self.book.occupancy, 0)
 
+    def test_data_that_the_server_confirmed_is_no_request(self) -> None:
+        """A process that has just started saw only the answer."""
+        learnt = self.book.learn(b"learnt", _NOW)
+        learnt.acknowledged = 150
+        self.book.note_caller_data(learnt, 100, 50, _NOW)
+        self.assertEqual(self.book.occupancy, 1)
+        self.book.note_caller_data(learnt, 150, 50, _NOW)
+        self.assertEqual(self.book.occupancy, 2)
+
+    def test_learnt_flow_has_the_terms_of_its_address(self) -> None:
+        """Whoever was offered a flow to the same address told them."""
+        terms = RouteTerms(1, timedelta(milliseconds=200))
+        self.book.note_terms(b"callerserver", terms)
+        self.assertEqual(self.book.terms(b"othersserver"), terms)
+        self.assertEqual(self.book.terms(b"callerothers").priority, UNKNOWN_PRIORITY)
+
     def test_opening_without_a_request(self) -> None:
         """It stops counting soon, and counts again when a request comes."""
         later = _NOW + FIRST_REQUEST_TIMEOUT
--- a/packages/pomelotrail-companion/pomelotrail_companion/waiting/discipline.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/waiting/discipline.py
@@ -29,7 +29,9 @@
     after the backlog's cause has gone. Here the operators' priority comes
     first; then requests that can meet their target, the newest of them first,
     so that a few miss it widely instead of all by a little; then late requests,
-    the oldest first.
+    the oldest first. Requests whose callers have closed the flow come last of all:
+    after an outage, callers that gave up have asked again on other flows, and work
+    for nobody would make those late too.
     """
 
     def choose(
@@ -37,11 +39,11 @@
     ) -> "WaitingRequest":
         """Return the request with the best rank."""
 
-        def rank(request: "WaitingRequest") -> tuple[bool, int, timedelta]:
+        def rank(request: "WaitingRequest") -> tuple[bool, bool, int, timedelta]:
             """Return the sort key of a request."""
             slack = request.target - (now - request.since) - work - TRAVEL
             is_late = slack < timedelta()
             order = request.since if is_late else -request.since
-            return (is_late, request.priority, order)
+            return (request.is_abandoned, is_late, request.priority, order)
 
         return min(waiting, key=rank)
--- a/packages/pomelotrail-companion/pomelotrail_companion/waiting/request_queue.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/waiting/request_queue.py
@@ -19,6 +19,11 @@
     target: timedelta
     packets: list[Packet] = msgspec.field(default_factory=list)
 
+    @property
+    def is_abandoned(self) -> bool:
+        """Tell whether the caller has closed its side before any answer."""
+        return any(each.finishes for each in self.packets)
+
     def add(self, packet: Packet) -> None:
         """Add a packet, unless it is the repetition of one that waits."""
         known = {(each.sequence, each.size, each.finishes) for each in self.packets}
--- a/packages/pomelotrail-companion/pomelotrail_companion/waiting/tests/test_request_queue.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/waiting/tests/test_request_queue.py
@@ -6,6 +6,7 @@
 import unittest
 from datetime import timedelta
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,6 +17,8 @@
     WaitingRequest,
     WorkEstimate,
 )
+from pomelotrail_core.flows import Packet
+from stand_ins.flows import make_packet
 
 _MS = timedelta(milliseconds=1)
 
@@ -33,6 +36,12 @@
     return WaitingRequest(name.encode(), since_ms * _MS, priority, target_ms * _MS)
 
 
+def closing_packet() -> Packet:
+    """Return the packet by which a caller closes its side of a flow."""
+    packet = make_packet(b"caller", b"server", 1, 1)
+    return msgspec.structs.replace(packet, finishes=True)
+
+
 def replay(
     discipline: QueueDiscipline, arrivals: list[float], slots: int, work_ms: float
 ) -> int:
@@ -78,6 +87,27 @@
         """So none of them starves."""
         self.assertEqual(self.choose(900, request("b", 100), request("a", 0)), "a")
 
+    def test_abandoned_request_comes_last(self) -> None:
+        """A caller that closed its flow has given up, whatever its priority."""
+        abandoned = request("abandoned", 490, priority=0)
+        abandoned.add(closing_packet())
+        late = request("late", 0, priority=100)
+        self.assertEqual(self.choose(500, abandoned, late), "late")
+
+    def test_callers_that_asked_again(self) -> None:
+        """After an outage, work for those that gave up delays nobody."""
+        waiting = [request(f"again-{i}", 900 + i, target_ms=100) for i in range(10)]
+        for index in range(10):
+            given_up = request(f"given-up-{index}", index)
+            given_up.add(closing_packet())
+            waiting.append(given_up)
+        order = []
+        while waiting:
+            chosen = OnTimeFirst().choose(waiting, 2_000 * _MS, 60 * _MS)
+            waiting.remove(chosen)
+            order.append(chosen.flow.decode())
+        self.assertTrue(all(name.startswith("again") for name in order[:10]))
+
     def test_backlog_of_an_outage(self) -> None:
         """Requests that come after an outage don't pay for those of before."""
         rng = random.Random(5)
