--- /dev/null
+++ b/harness/tests/test_hostile_datagrams.py
@@ -0,0 +1,125 @@
+"""Datagrams that nobody of ours has written."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from harness.flow_fleet import (
+    CALLERS_HOST,
+    FLEET_PORT,
+    FROM_SERVER_PORT,
+    PACKETS_PORT,
+    SERVICE,
+    FlowFleet,
+    KeptLines,
+)
+from harness.virtual_time import VirtualClock, run_in_virtual_time
+from pomelotrail_core.counters import Counters
+from pomelotrail_core.datagram_callback import guarded
+from pomelotrail_core.event_log import EventLog
+from pomelotrail_core.offers import (
+    Lookup,
+    LookupMiss,
+    LookupReply,
+    Offer,
+    OfferReply,
+    Outcome,
+    Owner,
+    Ping,
+    Pong,
+    encode,
+)
+
+_NUMBERS = st.integers(-(2**63), 2**64 - 1)
+_PLACES = st.lists(_NUMBERS, max_size=3).map(tuple)
+_BYTES = st.binary(max_size=48)
+_MESSAGES = st.one_of(
+    st.builds(
+        Offer,
+        _NUMBERS,
+        st.sampled_from((SERVICE, "another", "")),
+        _NUMBERS,
+        _NUMBERS,
+        st.none() | st.floats(allow_nan=True),
+        _NUMBERS,
+        st.integers(0, 10_000),
+        _BYTES,
+        st.integers(0, 10_000),
+    ),
+    st.builds(OfferReply, _NUMBERS, st.sampled_from(Outcome), _NUMBERS, _NUMBERS),
+    st.builds(Owner, _BYTES),
+    st.builds(
+        Lookup,
+        _NUMBERS,
+        st.just(SERVICE),
+        st.lists(_BYTES, max_size=3).map(tuple),
+        st.integers(0, 10_000),
+        _NUMBERS,
+    ),
+    st.builds(LookupReply, _NUMBERS, _PLACES, _PLACES, st.integers(0, 10_000)),
+    st.builds(LookupMiss, _BYTES, _BYTES, st.integers(0, 10_000)),
+    st.builds(Ping, _NUMBERS),
+    st.builds(Pong, _NUMBERS, _NUMBERS, _NUMBERS),
+)
+_PORTS = (PACKETS_PORT, FLEET_PORT, FROM_SERVER_PORT)
+
+
+async def async_disturb(datagrams: list[tuple[int, bytes]]) -> list[bytes | int | None]:
+    """Send datagrams to all parts of a fleet; return the answers to requests after.
+
+    The last value is the number of datagrams that a handler failed on.
+    """
+    fleet = FlowFleet(servers=2)
+    fleet.network.guard(fleet.log, fleet.counters)
+    caller = fleet.caller()
+    await caller.async_request(b"before")
+    send = fleet.network.sender(("192.0.2.99", FLEET_PORT))
+    for port, data in datagrams:
+        for host in (*fleet.servers, *fleet.balancer_names):
+            send(data, (host, port))
+    answer = await caller.async_ask(b"after", 3)
+    again = await fleet.caller().async_request(b"again")
+    failures = fleet.counters.value("datagrams_failed")
+    return [answer, again, failures]
+
+
+class HostileDatagramTest(unittest.TestCase):
+    """Callers are served whatever else arrives."""
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from(_PORTS), _BYTES | _MESSAGES.map(encode)),
+            max_size=6,
+        )
+    )
+    def test_callers_are_served(self, datagrams: list[tuple[int, bytes]]) -> None:
+        """Random bytes and messages with odd content from an unknown address."""
+        served = run_in_virtual_time(async_disturb(datagrams))
+        self.assertEqual(served, [b"answer to after", b"answer to again", 0])
+
+    def test_failure_of_a_handler(self) -> None:
+        """It is logged and counted, and the next datagram is handled."""
+        lines = KeptLines()
+        log = EventLog("test", VirtualClock(), lines)
+        counters = Counters()
+        taken = []
+
+        def handle(data: bytes, sender: tuple[str, int]) -> None:
+            """Fail on one datagram."""
+            if data == b"bad":
+                raise OverflowError("no such number")
+            taken.append(data)
+
+        async def async_run() -> None:
+            """Handle a bad and a good one."""
+            receive = guarded(handle, log, counters)
+            receive(b"bad", (CALLERS_HOST, 1))
+            receive(b"good", (CALLERS_HOST, 1))
+
+        run_in_virtual_time(async_run())
+        log.flush()
+        self.assertEqual(taken, [b"good"])
+        self.assertEqual(counters.value("datagrams_failed"), 1)
+        self.assertIn(b"no such number", lines.content)
--- a/stand_ins/flows/network.py
+++ b/stand_ins/flows/network.py
@@ -4,9 +4,17 @@
 import asyncio
 from typing import Final
 
-from pomelotrail_core.datagram_callback import Address, Received, Send, open_datagrams
+from pomelotrail_core.counters import Counters
+from pomelotrail_core.datagram_callback import (
+    Address,
+    Received,
+    Send,
+    guarded,
+    open_datagrams,
+)
 from pomelotrail_core.datagrams import DatagramSocket
 from pomelotrail_core.endpoint import Endpoint
+from pomelotrail_core.event_log import EventLog
 
 HOP_S: Final = 0.001
 
@@ -36,6 +44,11 @@
         """Give what arrives at an address to a function."""
         self._receivers[address] = receive
 
+    def guard(self, log: EventLog, counters: Counters) -> None:
+        """Let receivers fail as those of real processes do: logged and counted."""
+        for address, receive in self._receivers.items():
+            self._receivers[address] = guarded(receive, log, counters)
+
     def silence(self, host: str) -> None:
         """Forget the receivers of a host, as when its process dies."""
         for address in [each for each in self._receivers if each[0] == host]:
