--- a/soak/const.py
+++ b/soak/const.py
@@ -17,6 +17,8 @@
 COLD_PER_S: Final = 6.0
 
 SLOTS: Final = 4
+# Backend servers that don't register before a fault of their kind.
+SPARE_SERVERS: Final = 2
 WORK_S: Final = 0.02
 # Fleets of parallel runs have loopback networks of their own.
 FIRST_NETWORK: Final = 20
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -50,6 +50,7 @@
             Kind.SERVER_CRASH: self._async_server_crash,
             Kind.SERVER_REPLACE: self._async_server_replace,
             Kind.ADDRESS_REUSE: self._async_address_reuse,
+            Kind.SERVER_ADD: self._async_server_add,
             Kind.ZONE_OUT: self._async_zone_out,
             Kind.CONFIGURATION: self._async_configuration,
             Kind.STORE_FORGETS: self._async_store_forgets,
@@ -121,6 +122,10 @@
         if side.identity == identity:
             self._world.start_server(side)
 
+    async def _async_server_add(self, fault: Fault) -> None:
+        """Let a backend server register at an address that was never used."""
+        self._world.add_server()
+
     async def _async_address_reuse(self, fault: Fault) -> None:
         """Give the address of a backend server to the other service."""
         side = self._side(fault)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -33,6 +33,7 @@
     STORE_ONE_WAY = "store answers lost"
     ZONE_OUT = "zone out"
     CONFIGURATION = "configuration"
+    SERVER_ADD = "server add"
 
 
 @attrs.frozen
--- a/soak/world.py
+++ b/soak/world.py
@@ -26,6 +26,7 @@
     PORTS,
     SERVICES,
     SLOTS,
+    SPARE_SERVERS,
     WORK_S,
 )
 from .ends import SoakCaller, SoakServer
@@ -83,6 +84,7 @@
         self.zones_out: dict[str, float] = {}
         self.entries: list[Entry] = []
         self.sides: list[Side] = []
+        self._spares: list[Side] = []
         self._prefix = f"127.{network}"
         self._folder = folder
         self._prelude = prelude
@@ -103,15 +105,18 @@
     @property
     def processes(self) -> list[RoleProcess]:
         """Return all processes of the roles."""
-        return [each.process for each in (*self.entries, *self.sides)]
+        everybody = (*self.entries, *self.sides, *self._spares)
+        return [each.process for each in everybody]
 
     async def async_start(self) -> None:
         """Start everything and wait until it serves."""
         await self.store.async_start()
         for index in range(self._balancers):
             await self._async_add_entry(index)
-        for index in range(self._companions):
+        for index in range(self._companions + SPARE_SERVERS):
             await self._async_add_side(index)
+        self._spares = self.sides[self._companions :]
+        del self.sides[self._companions :]
         self.publish()
         for each in self.sides:
             self.start_server(each)
@@ -127,7 +132,7 @@
             if each.is_running:
                 each.send_signal(signal.SIGCONT)
             await each.async_stop(signal.SIGKILL)
-        for side in self.sides:
+        for side in (*self.sides, *self._spares):
             side.link.close()
         for entry in self.entries:
             await entry.store.async_stop()
@@ -160,6 +165,12 @@
         side.cold_since = self.now if is_cold else None
         self._write_entry(side, int(COLD_TIME_S * 1000) if is_cold else 0)
 
+    def add_server(self) -> None:
+        """Let a backend server register that nobody knows, if there is one left."""
+        if self._spares:
+            self.sides.append(self._spares.pop())
+            self.start_server(self.sides[-1])
+
     def drain(self, side: Side) -> None:
         """Let a backend server say that it leaves."""
         side.is_leaving = True
