Infer an outage from entries that go missing together

An outage of the store fell into the wait of the balancers' watches, so no call failed; its first answer told that 35 of 44 entries had lapsed. Balancers took those servers as gone and refused 178 flows in the second until the entries were back. The servers had lived all the while.

Ruled out: crashed servers, a zone taken out, full queues (the refusals list nobody).

Change: when three or more servers, and two fifths of those that were ready, go missing in one answer without having said that they leave, the directory believes them for the two seconds in which lapsed entries come back, as after an outage that it saw. Servers that crash one by one, or a zone of three and more, are gone at once as before.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -28,3 +28,8 @@
 OUTAGE_MEMORY: Final = timedelta(seconds=4)
 # Flows may live this long at a backend server whose entry is gone.
 FORMER_SERVER_MEMORY: Final = timedelta(seconds=60)
+# Servers crash one by one, or a zone of three and more at once; when so many of those
+# known go missing together without a word, their entries have lapsed in an outage
+# that ended before a call failed.
+FEWEST_LAPSED: Final = 3
+LAPSED_SHARE: Final = 0.4
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -9,7 +9,13 @@
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.event_log import EventLog
 
-from .const import FORMER_SERVER_MEMORY, LAPSE_GRACE, OUTAGE_MEMORY
+from .const import (
+    FEWEST_LAPSED,
+    FORMER_SERVER_MEMORY,
+    LAPSE_GRACE,
+    LAPSED_SHARE,
+    OUTAGE_MEMORY,
+)
 from .messages import (
     BackendServer,
     ConfigurationItem,
@@ -167,7 +173,9 @@
             for item in listing.items
             if isinstance(item, ServerItem)
         }
-        for identity in [each for each in self._known if each not in listed]:
+        missing = [each for each in self._known if each not in listed]
+        self._infer_outage(missing)
+        for identity in missing:
             self._lose(identity)
         zones = {item.zone for item in listing.items if isinstance(item, ZoneItem)}
         for zone in self._zones_out - zones:
@@ -177,6 +185,8 @@
     def apply(self, listing: Listing) -> None:
         """Take changes in their order."""
         self._revision = listing.revision
+        removed = [each for each in listing.items if isinstance(each, RemovedItem)]
+        self._infer_outage([each.identity for each in removed])
         for item in listing.items:
             match item:
                 case ServerItem(server):
@@ -301,6 +311,33 @@
         known.lapses = (self._returned if not self._is_lost else now) + LAPSE_GRACE
         self._changed("server_lapsed", server=identity)
 
+    def _infer_outage(self, missing: list[str]) -> None:
+        """Take many entries that went missing together for the end of an outage.
+
+        Load pattern answered: an outage shorter than the wait of a watch, in which
+        entries lapse. No call fails, and most servers would be taken as gone.
+        """
+        now = self._clock.monotonic()
+        ready = [x for x, known in self._known.items() if self._is_ready(known)]
+        lost = set(missing).intersection(ready)
+        if len(lost) < FEWEST_LAPSED or len(lost) < LAPSED_SHARE * len(ready):
+            return
+        if self._explains_lapse(now):
+            return
+        self._returned = now
+        self._log.write(
+            _PART,
+            "outage_inferred",
+            missing=len(lost),
+            ready=len(ready),
+            revision=self._revision,
+        )
+
+    @staticmethod
+    def _is_ready(known: _Known) -> bool:
+        """Tell whether an entry is there and didn't say that its server leaves."""
+        return known.lapses is None and known.server.state is ServerState.READY
+
     def _explains_lapse(self, now: timedelta) -> bool:
         """Tell whether an outage may be why an entry is missing."""
         if self._is_lost:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
@@ -100,6 +100,50 @@
         self.clock.jump(timedelta(seconds=0.2))
         self.assertEqual(self.identities(), ["server-1"])
 
+    def list_servers(self, count: int) -> None:
+        """List servers that are ready."""
+        entries = [
+            entry(
+                identity=f"server-{index}",
+                endpoint=Endpoint(f"192.0.2.{index + 1}", 8080),
+                revision=index + 1,
+            )
+            for index in range(count)
+        ]
+        self.directory.replace(listing(*entries))
+
+    def remove(self, count: int) -> None:
+        """Remove the first entries in one answer of the store."""
+        removed = [RemovedItem(identity=f"server-{index}") for index in range(count)]
+        self.directory.apply(listing(*removed, revision=20))
+
+    def test_entries_that_lapsed_in_an_outage_that_nobody_noticed(self) -> None:
+        """So many at once have not crashed; they have two seconds to come back."""
+        self.list_servers(9)
+        self.remove(8)
+        self.assertEqual(len(self.identities()), 9)
+        self.clock.jump(timedelta(seconds=1.9))
+        self.directory.apply(listing(entry(identity="server-0", revision=30)))
+        self.clock.jump(timedelta(seconds=0.2))
+        self.assertEqual(sorted(self.identities()), ["server-0", "server-8"])
+
+    def test_list_that_lacks_most_entries(self) -> None:
+        """The same after the store's history was lost."""
+        self.list_servers(9)
+        self.directory.replace(listing())
+        self.assertEqual(len(self.identities()), 9)
+        self.clock.jump(timedelta(seconds=2.1))
+        self.assertEqual(self.identities(), [])
+
+    def test_servers_that_crash_together(self) -> None:
+        """A zone of three, or two servers of three, are gone at once."""
+        for count, crashed in ((9, 3), (3, 2)):
+            with self.subTest(count):
+                self.setUp()
+                self.list_servers(count)
+                self.remove(crashed)
+                self.assertEqual(len(self.identities()), count - crashed)
+
     def test_leaving_server_does_not_lapse(self) -> None:
         """It said that it would go."""
         leaving = entry(state=ServerState.LEAVING)
