The soak ends a companion before it gives the address away

Ruled out: the product. Balancers offered the flow before the new entry existed, and the companion compared it with its own service. On the users' platform a companion ends with its backend server and never stands beside the next one.

Change: the old companion is ended, then the address changes hands.

--- a/soak/world.py
+++ b/soak/world.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from pathlib import Path
 
 import attrs
@@ -176,27 +177,42 @@
         side.is_leaving = True
         self._write_entry(side, 0)
 
-    async def async_restart(self, process: RoleProcess, number: signal.Signals) -> None:
+    async def async_restart(
+        self,
+        process: RoleProcess,
+        number: signal.Signals,
+        while_down: Callable[[], None] = lambda: None,
+    ) -> None:
         """End a process by a signal and start it again, as the platform does."""
         # Restarts that overlap would start two processes at one address.
         async with self._restarts[process.name]:
-            await self._async_restart(process, number)
+            await self._async_restart(process, number, while_down)
 
     async def async_reuse_address(self, side: Side, service: str) -> None:
-        """Give the VM of a backend server that crashed to another service."""
+        """Give the VM of a backend server that crashed to another service.
+
+        Its companion ends with the server: what that one had delivered belongs to
+        the earlier service.
+        """
+
+        def take_over() -> None:
+            """Start the next server at the address."""
+            side.server.service = service
+            self._write_settings(side)
+            self.start_server(side)
+
         side.server.crash()
-        side.server.service = service
-        self._write_settings(side)
-        restart = self.async_restart(side.process, signal.SIGKILL)
-        self.start_server(side)
-        await restart
+        await self.async_restart(side.process, signal.SIGKILL, take_over)
 
     def holds(self, flow: bytes, expected: int) -> bool:
         """Tell whether some backend server holds a caller's flow."""
         return any(each.server.holds_flow(flow, expected) for each in self.sides)
 
     async def _async_restart(
-        self, process: RoleProcess, number: signal.Signals
+        self,
+        process: RoleProcess,
+        number: signal.Signals,
+        while_down: Callable[[], None],
     ) -> None:
         """End a process, and start it after the platform's short delay."""
         entry = next((each for each in self.entries if each.process is process), None)
@@ -207,6 +223,7 @@
             process.send_signal(signal.SIGCONT)
         await process.async_stop(number)
         await asyncio.sleep(_RESTART_DELAY_S)
+        while_down()
         await process.async_start()
         if entry is not None:
             entry.usable_from, entry.usable_until = self.now + _ROUTER_NOTICE_S, None
