--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/lookups.py
@@ -148,7 +148,6 @@
         question = self._questions.take(reply, sender)
         if question is None:
             return
-        told = {*reply.owned, *reply.unsure}
         for place, flow in enumerate(question.flows):
             lookup = self._pending.get(flow)
             if lookup is None:
@@ -157,7 +156,7 @@
                 self.find(flow, question.companion)
             elif place in reply.unsure:
                 self._let_server_tell(lookup, question.companion, question.identity)
-            elif place not in told:
+            else:
                 self._note_denied(lookup, question.identity)
 
     def find(self, flow: bytes, companion: CompanionView) -> bool:
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
@@ -3,8 +3,6 @@
 import asyncio
 from datetime import datetime, timedelta
 
-import msgspec
-
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, Send
@@ -24,6 +22,7 @@
     service_label,
 )
 
+from .addresses import DoorwayAddresses
 from .cold_budget import ColdBudget
 from .const import (
     MILLISECOND,
@@ -38,18 +37,6 @@
 _PART = "doorway"
 
 
-class DoorwayAddresses(msgspec.Struct, frozen=True):
-    """Where the doorway sends to.
-
-    ``fleet_port`` is where balancers take messages and ``callers_port`` where
-    callers take packets.
-    """
-
-    backend_server: Address
-    fleet_port: int
-    callers_port: int
-
-
 class Doorway:
     """The datapath of a companion.
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -3,8 +3,6 @@
 import asyncio
 from datetime import timedelta
 
-import msgspec
-
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.event_log import EventLog
@@ -16,6 +14,7 @@
     LAPSED_SHARE,
     OUTAGE_MEMORY,
 )
+from .known_server import KnownServer
 from .messages import (
     BackendServer,
     ConfigurationItem,
@@ -32,14 +31,6 @@
 _PART = "directory"
 
 
-class _Known(msgspec.Struct):
-    """A backend server, when its entry was seen, and when that lapsed."""
-
-    server: BackendServer
-    seen: timedelta
-    lapses: timedelta | None = None
-
-
 class Directory:
     """The state that the follower keeps current.
 
@@ -54,8 +45,8 @@
         """Start without any belief."""
         self._clock = clock
         self._log = log
-        self._known: dict[str, _Known] = {}
-        self._former: dict[str, _Known] = {}
+        self._known: dict[str, KnownServer] = {}
+        self._former: dict[str, KnownServer] = {}
         self._zones_out: set[str] = set()
         self._configuration: PublishedConfiguration | None = None
         self._revision = 0
@@ -261,7 +252,7 @@
         if self._is_outdated(server):
             return
         self._forget_reused(server)
-        self._known[server.identity] = _Known(server, self._clock.monotonic())
+        self._known[server.identity] = KnownServer(server, self._clock.monotonic())
         self._former.pop(server.identity, None)
         self._changed(
             "server_seen",
@@ -293,7 +284,7 @@
             del self._former[identity]
 
     @staticmethod
-    def _at(endpoint: Endpoint, servers: dict[str, _Known]) -> list[str]:
+    def _at(endpoint: Endpoint, servers: dict[str, KnownServer]) -> list[str]:
         """Return the identities at an address."""
         return [
             key for key, each in servers.items() if each.server.endpoint == endpoint
@@ -318,7 +309,7 @@
         entries lapse. No call fails, and most servers would be taken as gone.
         """
         now = self._clock.monotonic()
-        ready = [x for x, known in self._known.items() if self._is_ready(known)]
+        ready = [x for x, known in self._known.items() if known.is_ready]
         lost = set(missing).intersection(ready)
         if len(lost) < FEWEST_LAPSED or len(lost) < LAPSED_SHARE * len(ready):
             return
@@ -333,11 +324,6 @@
             revision=self._revision,
         )
 
-    @staticmethod
-    def _is_ready(known: _Known) -> bool:
-        """Tell whether an entry is there and didn't say that its server leaves."""
-        return known.lapses is None and known.server.state is ServerState.READY
-
     def _explains_lapse(self, now: timedelta) -> bool:
         """Tell whether an outage may be why an entry is missing."""
         if self._is_lost:
@@ -355,7 +341,7 @@
             if now - known.seen >= FORMER_SERVER_MEMORY:
                 del self._former[identity]
 
-    def _former_servers(self, is_settled: bool) -> list[_Known]:
+    def _former_servers(self, is_settled: bool) -> list[KnownServer]:
         """Return former servers that went missing long or a short time ago."""
         now = self._clock.monotonic()
         return [
@@ -367,7 +353,7 @@
     def _remove(self, identity: str, reason: str) -> None:
         """Stop believing an entry."""
         known = self._known.pop(identity)
-        self._former[identity] = _Known(known.server, self._clock.monotonic())
+        self._former[identity] = KnownServer(known.server, self._clock.monotonic())
         self._changed("server_gone", server=identity, reason=reason)
 
     def _adopt(self, configuration: PublishedConfiguration) -> None:
