Count no denial that was asked for before the lookup began

A caller uses a port again while the lookup of its earlier flow waits for one companion. That companion's denial, sent before its server accepted the next flow, arrives after the next lookup began and counted for it; with the others' denials the living flow was reset. The new test holds the reply back and failed before. Questions carry the time when they were sent, so an older one is passed over.

Ruled out: a denial of a packet that was sent to find out, of the same age, is told apart only by address. It would have to overtake the opening on the same link; not shown.

--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -7,6 +7,7 @@
 
 from harness.flow_fleet import FIRST_REVISION, SERVICE_ADDRESS, FlowFleet
 from harness.virtual_time import run_in_virtual_time
+from pomelotrail_core.datagram_callback import Address
 from pomelotrail_core.directory import Directory, Listing, RemovedItem, ServerItem
 from pomelotrail_core.endpoint import pack_address
 from stand_ins.flows import StandInCaller
@@ -154,6 +155,40 @@
 
         run_in_virtual_time(async_run())
 
+    def test_denial_of_an_earlier_flow_that_comes_late(self) -> None:
+        """It was asked for before the present flow of the same port was opened."""
+
+        async def async_run() -> None:
+            """Hold a companion's replies back until its server has the next flow."""
+            fleet, (caller,) = await self.async_lose_power(1, servers=3)
+            host = next(iter(fleet.servers))
+            fleet.stop_companion(host)
+            doorway = fleet.start_companion(host)
+            held: list[tuple[bytes, Address]] = []
+            send = doorway._ownership._send_message
+            doorway._ownership._send_message = lambda *reply: held.append(reply)
+            with self.assertRaises(TimeoutError):
+                await caller.async_ask(b"two", 1)
+            late, held = held, []
+            fleet.start_balancer("192.0.2.201")
+            again = fleet.caller()
+            again.use_address(caller.own)
+            for server in fleet.servers.values():
+                server.answers_openings = server.host == host
+                server.use_sequences_from(1_000_000_000)
+            self.assertTrue(await again.async_open())
+            fleet.enter_by(1)
+            asking = asyncio.create_task(again.async_ask(b"three", 1))
+            await asyncio.sleep(0.01)
+            self.assertTrue(late)
+            for reply in late:
+                send(*reply)
+            with self.assertRaises(TimeoutError):
+                await asking
+            self.assertEqual(fleet.counters.value("resets_nobody_holds_it"), 0)
+
+        run_in_virtual_time(async_run())
+
     def test_port_that_is_used_again(self) -> None:
         """What was denied of an earlier flow doesn't count for the next one."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/lookups.py
@@ -150,7 +150,8 @@
             return
         for place, flow in enumerate(question.flows):
             lookup = self._pending.get(flow)
-            if lookup is None:
+            if lookup is None or question.sent < lookup.began:
+                # The question was about an earlier flow of the same addresses.
                 continue
             if place in reply.owned:
                 self.find(flow, question.companion)
