--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -22,17 +22,22 @@
 class ChangingDirectoryTest(unittest.TestCase):
     """Servers that this balancer learns of during a lookup."""
 
+    async def async_open_at_first(self) -> tuple[FlowFleet, StandInCaller, str]:
+        """Return a fleet, a caller, and the host of the server that has its flow."""
+        fleet = FlowFleet(servers=3)
+        host, *others = fleet.servers
+        for other in others:
+            fleet.servers[other].answers_openings = False
+        caller = fleet.caller()
+        self.assertEqual(await caller.async_request(b"one"), b"answer to one")
+        return fleet, caller, host
+
     def test_server_that_registered_before_the_flow_opened(self) -> None:
         """It is asked too, although the lookup began before this balancer knew it."""
 
         async def async_run() -> None:
             """Open a flow at a server that only one balancer knows."""
-            fleet = FlowFleet(servers=3)
-            for host in list(fleet.servers)[1:]:
-                fleet.servers[host].answers_openings = False
-            newest = next(iter(fleet.servers))
-            caller = fleet.caller()
-            self.assertEqual(await caller.async_request(b"one"), b"answer to one")
+            fleet, caller, newest = await self.async_open_at_first()
             self.assertTrue(fleet.servers[newest].ran)
             fleet.start_balancer("192.0.2.200", is_listed=False)
             fleet.directory().replace(listing_without(fleet, newest))
@@ -52,12 +57,7 @@
 
         async def async_run() -> None:
             """Open a flow at a server that one balancer takes for another one."""
-            fleet = FlowFleet(servers=3)
-            for host in list(fleet.servers)[1:]:
-                fleet.servers[host].answers_openings = False
-            host = next(iter(fleet.servers))
-            caller = fleet.caller()
-            self.assertEqual(await caller.async_request(b"one"), b"answer to one")
+            fleet, caller, host = await self.async_open_at_first()
             fleet.start_balancer("192.0.2.200", is_listed=False)
             earlier = msgspec.structs.replace(
                 fleet.entry_of(host, 2),
--- a/harness/tests/test_flow_relearning.py
+++ b/harness/tests/test_flow_relearning.py
@@ -5,28 +5,29 @@
 
 from harness.flow_fleet import FlowFleet
 from harness.virtual_time import run_in_virtual_time
+from stand_ins.flows import StandInCaller
 
 
 class RelearntFlowTest(unittest.TestCase):
     """What repeated packets of a learnt flow do to the slots."""
 
-    async def async_lose_tables(self) -> FlowFleet:
-        """Return a fleet of one server with one slot, for callers of long flows."""
+    async def async_lose_tables(self) -> tuple[FlowFleet, StandInCaller]:
+        """Return a fleet of one slot without tables, and the caller of an open flow."""
         fleet = FlowFleet(servers=1, slots=1)
         for server in fleet.servers.values():
             server.runs_repetitions = False
-        return fleet
+        caller = fleet.caller()
+        await caller.async_request(b"one")
+        fleet.restart_companions()
+        fleet.start_balancer("192.0.2.200")
+        return fleet, caller
 
     def test_request_that_found_the_flow_takes_one_slot_once(self) -> None:
         """Its copy for the owner is no second request that holds the slot."""
 
         async def async_run() -> None:
             """Kill everything of ours between two requests, then send a third."""
-            fleet = await self.async_lose_tables()
-            caller = fleet.caller()
-            await caller.async_request(b"one")
-            fleet.restart_companions()
-            fleet.start_balancer("192.0.2.200")
+            fleet, caller = await self.async_lose_tables()
             self.assertEqual(await caller.async_ask(b"two", 1), b"answer to two")
             other = fleet.caller()
             self.assertEqual(await other.async_request(b"three"), b"answer to three")
@@ -39,11 +40,7 @@
 
         async def async_run() -> None:
             """Let the server repeat an answer to a new companion."""
-            fleet = await self.async_lose_tables()
-            caller = fleet.caller()
-            await caller.async_request(b"one")
-            fleet.restart_companions()
-            fleet.start_balancer("192.0.2.200")
+            fleet, caller = await self.async_lose_tables()
             (server,) = fleet.servers.values()
             server.repeat_answer()
             # An opening tells the companion how many slots there are.
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/balancer.py
@@ -179,16 +179,14 @@
         if record is None or companion is None:
             return
         if not self._lookups.find(flow, companion):
-            record.owner = companion
-            record.takers = [companion]
+            record.assign(companion)
 
     def _send_held(self, lookup: FlowLookup, companion: CompanionView) -> None:
         """Send what waited, and what follows, to the owner."""
         now = self._clock.monotonic()
         flow = lookup.flow
         record = self._flows.get(flow, now) or self._flows.add(flow, now)
-        record.owner = companion
-        record.takers = [companion]
+        record.assign(companion)
         for packet in (lookup.sought, *lookup.held):
             self._forward(packet, companion, Mark.OWNED)
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/flow_table.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/flow_table.py
@@ -25,6 +25,11 @@
     taken: timedelta | None = None
     opening: asyncio.Task | None = None
 
+    def assign(self, owner: CompanionView) -> None:
+        """Note the companion that said that it holds the flow."""
+        self.owner = owner
+        self.takers = [owner]
+
 
 class FlowTable:
     """Records by flow, the one used last at the end."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/carrying/lookups.py
@@ -12,7 +12,7 @@
 from pomelotrail_core.datagram_callback import Address, Send
 from pomelotrail_core.directory import CompletenessCheck, Directory
 from pomelotrail_core.event_log import EventLog
-from pomelotrail_core.flows import Packet, flow_text
+from pomelotrail_core.flows import SEQUENCE_RANGE, Packet, flow_text
 from pomelotrail_core.offers import LookupReply
 
 from .const import (
@@ -30,7 +30,6 @@
 from .questions import Questions
 
 _PART = "carrying"
-_SEQUENCE_RANGE = 2**32
 
 
 class FlowLookup(msgspec.Struct, eq=False):
@@ -73,8 +72,8 @@
         Callers use their ports again; evidence about an earlier flow of the same
         addresses says nothing about the present one.
         """
-        step = (packet.acknowledged - self.sought.acknowledged) % _SEQUENCE_RANGE
-        return min(step, _SEQUENCE_RANGE - step) <= MAX_POSITION_STEP
+        step = (packet.acknowledged - self.sought.acknowledged) % SEQUENCE_RANGE
+        return min(step, SEQUENCE_RANGE - step) <= MAX_POSITION_STEP
 
 
 class Lookups:
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/doorway.py
@@ -8,7 +8,7 @@
 from pomelotrail_core.datagram_callback import Address, Send
 from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES, unpack_address
 from pomelotrail_core.event_log import EventLog
-from pomelotrail_core.flows import Mark, Packet, PacketCodec, flow_text
+from pomelotrail_core.flows import SEQUENCE_RANGE, Mark, Packet, PacketCodec, flow_text
 from pomelotrail_core.offers import (
     Lookup,
     Offer,
@@ -231,7 +231,7 @@
             return True
         if booked.initial is None:
             return False
-        return packet.acknowledged == (booked.initial + 1) % 2**32
+        return packet.acknowledged == (booked.initial + 1) % SEQUENCE_RANGE
 
     def _deliver(self, booked: BookedFlow, packet: Packet, balancer: Address) -> None:
         """Give a packet of a flow to the backend server."""
@@ -334,7 +334,7 @@
         if booked is not None:
             booked.used = now
             booked.acknowledged = packet.acknowledged
-            booked.position = (packet.sequence + packet.size) % 2**32
+            booked.position = (packet.sequence + packet.size) % SEQUENCE_RANGE
             if packet.size:
                 self._observe(self._gate.note_answer(booked, now))
             if packet.resets:
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/flow_book.py
@@ -8,6 +8,7 @@
 from pomelotrail_companion.waiting.const import UNKNOWN_PRIORITY, UNKNOWN_TARGET
 from pomelotrail_core.datagram_callback import Address
 from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES
+from pomelotrail_core.flows import SEQUENCE_RANGE
 
 from .const import (
     CLOSED_LINGER,
@@ -22,8 +23,6 @@
     UNANSWERED_MEMORY,
 )
 
-_SEQUENCE_RANGE = 2**32
-
 
 class BookedFlow(msgspec.Struct, eq=False):
     """One flow.
@@ -178,7 +177,7 @@
         what an earlier one had delivered. Taken for requests, repetitions would hold
         slots and places in the queue for answers that never come.
         """
-        end = (sequence + size) % _SEQUENCE_RANGE
+        end = (sequence + size) % SEQUENCE_RANGE
         if _reaches(booked.caller_end, end) or _reaches(booked.acknowledged, end):
             return
         booked.caller_end = end
@@ -241,7 +240,7 @@
 
 def _reaches(known: int | None, end: int) -> bool:
     """Tell whether data is known up to an end, by sequence numbers that wrap."""
-    return known is not None and (known - end) % _SEQUENCE_RANGE < _SEQUENCE_RANGE // 2
+    return known is not None and (known - end) % SEQUENCE_RANGE < SEQUENCE_RANGE // 2
 
 
 def _lifetime(booked: BookedFlow) -> timedelta:
--- a/packages/pomelotrail-companion/pomelotrail_companion/doorway/outage_news.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/doorway/outage_news.py
@@ -4,7 +4,7 @@
 
 from pomelotrail_core.clock import Clock
 
-_MILLISECOND = timedelta(milliseconds=1)
+from .const import MILLISECOND
 
 
 class OutageNews:
@@ -24,10 +24,10 @@
     def unsettled_ms(self) -> int:
         """Return how long entries may still come back."""
         remaining = self._until - self._clock.monotonic()
-        return max(0, remaining // _MILLISECOND)
+        return max(0, remaining // MILLISECOND)
 
     def note(self, unsettled_ms: int) -> None:
         """Take what a balancer knows."""
         if unsettled_ms > 0:
-            until = self._clock.monotonic() + unsettled_ms * _MILLISECOND
+            until = self._clock.monotonic() + unsettled_ms * MILLISECOND
             self._until = max(self._until, until)
--- a/packages/pomelotrail-core/pomelotrail_core/flows/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/flows/__init__.py
@@ -1,6 +1,6 @@
 """Packets of transport flows whose ends can't be touched."""
 
-from .packet import Mark, Packet, PacketCodec
+from .packet import SEQUENCE_RANGE, Mark, Packet, PacketCodec
 from .text import flow_text
 
-__all__ = ["Mark", "Packet", "PacketCodec", "flow_text"]
+__all__ = ["SEQUENCE_RANGE", "Mark", "Packet", "PacketCodec", "flow_text"]
--- a/packages/pomelotrail-core/pomelotrail_core/flows/packet.py
+++ b/packages/pomelotrail-core/pomelotrail_core/flows/packet.py
@@ -2,9 +2,13 @@
 
 import abc
 import enum
+from typing import Final
 
 import msgspec
 
+# Sequence numbers of packets wrap here.
+SEQUENCE_RANGE: Final = 2**32
+
 
 class Mark(enum.IntEnum):
     """What a balancer says of a packet that it hands to a companion."""
