Companion: don't count data on an ended flow as a request

Data on an ended flow still goes to the server, which answers it, but is no request. Both new tests fail without the change.

--- a/harness/tests/test_flow_relearning.py
+++ b/harness/tests/test_flow_relearning.py
@@ -60,3 +60,30 @@
             )
 
         run_in_virtual_time(async_run())
+
+
+class EndedFlowTest(unittest.TestCase):
+    """Data that arrives after the backend server has ended the flow."""
+
+    def test_late_data_occupies_no_slot(self) -> None:
+        """The next request runs at once, and the server isn't reported as failing."""
+
+        async def async_run() -> None:
+            """Deliver a request late to the only slot, after its flow has ended."""
+            fleet = FlowFleet(servers=1, slots=1)
+            (server,) = fleet.servers.values()
+            (proxy,) = fleet.proxies.values()
+            late_caller, other = fleet.caller(), fleet.caller()
+            await late_caller.async_open_and_request(b"one")
+            server.end_flow(late_caller.packed_address)
+            await asyncio.sleep(0.01)
+            with self.assertRaises(TimeoutError):
+                await late_caller.async_send_request(b"late", 1)
+            self.assertEqual(proxy.occupancy, 0)
+            opened = asyncio.get_running_loop().time()
+            self.assertEqual(
+                await other.async_open_and_request(b"two"), b"answer to two"
+            )
+            self.assertLess(asyncio.get_running_loop().time() - opened, 0.1)
+
+        run_in_virtual_time(async_run())
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -178,9 +178,12 @@
         """Record data of the caller; data that is no retransmission is a request.
 
         Handles this load pattern: after a restart of this process, callers retransmit
-        data that an earlier process delivered. Counted as requests, retransmissions
-        would occupy slots and queue positions without ever being answered.
+        data that an earlier process delivered, and slow links deliver data after the
+        flow has ended. Counted as requests, such data would occupy slots and queue
+        positions without ever being answered.
         """
+        if entry.is_closed:
+            return
         end = (sequence + size) % SEQUENCE_RANGE
         if _is_up_to(entry.caller_end, end) or _is_up_to(entry.acknowledged, end):
             return
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
@@ -50,6 +50,12 @@
             self.flows.record_caller_data(self.entry, start, 50, _NOW)
             self.assertEqual(self.flows.occupancy, 0)
 
+    def test_data_on_an_ended_flow_is_no_request(self) -> None:
+        """Data that a slow link delivers after the flow's end occupies no slot."""
+        self.flows.close(self.entry)
+        self.flows.record_caller_data(self.entry, 100, 50, _NOW)
+        self.assertEqual(self.flows.occupancy, 0)
+
     def test_acknowledged_data_is_no_request(self) -> None:
         """A process that has just started has seen only the acknowledgement."""
         learned = self.flows.learn(b"learnt", _NOW)
--- a/stand_ins/flows/endpoints.py
+++ b/stand_ins/flows/endpoints.py
@@ -57,6 +57,14 @@
         """Discard all flows, as a restart after a crash does."""
         self.flows.clear()
 
+    def end_flow(self, caller: bytes) -> None:
+        """End the flow of a caller's address and forget it."""
+        flow = next(each for each in self.flows if each.startswith(caller))
+        end = make_packet(
+            flow[len(caller) :], caller, self.flows.pop(flow) + 1, finishes=True
+        )
+        self._send(CODEC.encode(end), self._companion)
+
     def receive(self, data: bytes, sender: Address) -> None:
         """Handle a packet from a caller."""
         packet = CODEC.decode(data)
