Lookups: probe servers through a companion, repeat by observed reply times

What fills the link grew with its delay.

Hypothesis: the fleet recovers if a lookup costs the link a bounded number of bytes and nothing is repeated before its reply is overdue.

--- a/harness/tests/test_hostile_datagrams.py
+++ b/harness/tests/test_hostile_datagrams.py
@@ -32,6 +32,8 @@
     Owner,
     Ping,
     Pong,
+    Probe,
+    ProbeRequest,
     encode,
 )
 
@@ -65,6 +67,8 @@
         LookupReply, _NUMBERS, _FLOW_INDEXES, _FLOW_INDEXES, st.integers(0, 10_000)
     ),
     st.builds(LookupMiss, _BYTES, _BYTES, st.integers(0, 10_000)),
+    st.builds(ProbeRequest, _BYTES, st.lists(_BYTES, max_size=70).map(tuple)),
+    st.builds(Probe, _BYTES, _BYTES),
     st.builds(Ping, _NUMBERS),
     st.builds(Pong, _NUMBERS, _NUMBERS, _NUMBERS),
 )
--- /dev/null
+++ b/harness/tests/test_slow_links.py
@@ -0,0 +1,67 @@
+"""Balancers on slow links, when all of their flows are unknown."""
+
+import asyncio
+import random
+import unittest
+from typing import Final
+
+from harness.flow_fleet import FlowFleet
+from harness.virtual_time import run_in_virtual_time
+from stand_ins.flows import StandInCaller
+
+SMALL_BALANCER: Final = "192.0.2.200"
+SLOW_LINK_BYTES_PER_S: Final = 625_000
+SERVERS: Final = 40
+CALLERS: Final = 150
+REQUEST: Final = b"r" * 900
+# Callers pause between requests, so that the balancer forwards 50 each second: a
+# tenth of what its link carries.
+PAUSE_S: Final = 3.0
+# The balancer must have learnt all flows and be usable again after this time.
+RECOVERY_S: Final = 5.0
+TARGET_S: Final = 0.2
+
+
+class RelearningTest(unittest.TestCase):
+    """All processes restart at the same time, and all flows stay open."""
+
+    def test_small_balancer_recovers(self) -> None:
+        """Looking up its flows doesn't keep the link full."""
+
+        async def async_run() -> list[float]:
+            """Return the response times of requests sent after the recovery."""
+            fleet = FlowFleet(servers=SERVERS, slots=4)
+            callers = [fleet.caller() for _ in range(CALLERS)]
+            for caller in callers:
+                await caller.async_open_and_request(b"one")
+            fleet.restart_companions()
+            fleet.start_balancer(SMALL_BALANCER)
+            fleet.network.limit_link(SMALL_BALANCER, SLOW_LINK_BYTES_PER_S)
+            response_times: list[float] = []
+            randoms = [random.Random(index) for index in range(CALLERS)]
+            await asyncio.gather(
+                *(
+                    async_send_requests(caller, rng, response_times)
+                    for caller, rng in zip(callers, randoms, strict=True)
+                )
+            )
+            return response_times
+
+        response_times = run_in_virtual_time(async_run())
+        late = [seconds for seconds in response_times if seconds > TARGET_S]
+        self.assertGreater(len(response_times), CALLERS)
+        self.assertEqual(late, [])
+
+
+async def async_send_requests(
+    caller: StandInCaller, rng: random.Random, response_times: list[float]
+) -> None:
+    """Send requests with pauses; record how long those after the recovery took."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    await asyncio.sleep(rng.random() * PAUSE_S)
+    while (sent := loop.time()) - started < RECOVERY_S + 2 * PAUSE_S:
+        await caller.async_send_request(REQUEST, 50)
+        if sent - started >= RECOVERY_S:
+            response_times.append(loop.time() - sent)
+        await asyncio.sleep(PAUSE_S)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
@@ -28,6 +28,7 @@
 from .lookups import FlowLookup, Lookups
 from .message_budget import MessageBudget
 from .opening_queue import OpeningQueue
+from .server_probes import ServerProbes
 
 _PART = "carrying"
 
@@ -71,6 +72,7 @@
         self._flows = FlowTable()
         self._early_packets = EarlyPackets()
         self._opening_queue = OpeningQueue(clock, log, counters, self._place)
+        budget = MessageBudget(lookups_per_s, clock.monotonic())
         self._lookups = Lookups(
             directory,
             check,
@@ -78,9 +80,9 @@
             clock,
             log,
             counters,
-            MessageBudget(lookups_per_s, clock.monotonic()),
+            budget,
+            ServerProbes(codec, send_packet, send_message, budget.spend),
             send_message,
-            self._probe,
             self._send_held_packets,
             self._reset_unowned,
         )
@@ -168,10 +170,6 @@
         self._send_packet(labelled, companion.packets_address)
         self._counters.add("packets_forwarded")
 
-    def _probe(self, packet: Packet, companion: CompanionView) -> None:
-        """Send a packet to find out whether a companion's server owns its flow."""
-        self._forward(packet, companion, Mark.LOOKUP)
-
     def _handle_owner(self, flow: bytes, sender: Address) -> None:
         """Record the owner of a flow, whether or not it was looked up."""
         companion = self._companions.find_by_address(sender)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
@@ -31,6 +31,17 @@
 LOOKUP_MESSAGES_PER_MBIT: Final = 350
 # The smallest VM in use handles this rate in addition to its packets.
 MIN_LOOKUP_MESSAGES_PER_S: Final = 150.0
+# Size of a query for one flow with its IP and UDP headers.
+QUERY_BYTES: Final = 90
+DATAGRAM_OVERHEAD_BYTES: Final = 28
+# The reply to a probe takes half the bytes of a query.
+PROBE_REPLY_COST: Final = 0.5
+# Companions decline to send a packet to more of them.
+MAX_PROBES_PER_REQUEST: Final = 64
+# As in RFC 6298, a reply is overdue after the mean and four deviations. The average
+# covers about the last ten replies.
+REPLY_TIME_WEIGHT: Final = 0.1
+REPLY_TIME_DEVIATIONS: Final = 4
 # Packets that arrive together are read within this time, and their flows are
 # looked up with the same messages.
 BATCH_INTERVAL: Final = timedelta(milliseconds=2)
@@ -41,7 +52,7 @@
 # Companions reply in milliseconds; slow ones and slow links within a second.
 QUERY_LIFETIME: Final = timedelta(seconds=2)
 # Callers retransmit after 200 ms or more; a shorter interval would query a
-# companion again before it had time to start.
+# companion again before it had time to start. Slow links lengthen it.
 LOOKUP_RETRY_INTERVAL: Final = timedelta(milliseconds=150)
 # A failed check costs a call to the store, so the next one is delayed.
 CHECK_RETRY_DELAY: Final = timedelta(milliseconds=400)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -28,6 +28,8 @@
 )
 from .lookup_queries import LookupQueries
 from .message_budget import MessageBudget
+from .reply_time import ReplyTime
+from .server_probes import ServerProbes
 
 _PART = "carrying"
 
@@ -103,14 +105,14 @@
         log: EventLog,
         counters: Counters,
         budget: MessageBudget,
+        probes: ServerProbes,
         send_message: SendDatagram,
-        probe: Callable[[Packet, CompanionView], None],
         on_owner_found: Callable[[FlowLookup, CompanionView], None],
         on_unowned: Callable[[Packet], None],
     ) -> None:
         """Report owners to ``on_owner_found`` and ownerless flows to ``on_unowned``.
 
-        ``probe`` sends a packet to an unsure companion, whose server then decides.
+        ``probes`` sends packets to unsure companions, whose servers then decide.
         """
         self._directory = directory
         self._check = check
@@ -119,10 +121,11 @@
         self._log = log
         self._counters = counters
         self._budget = budget
-        self._probe = probe
+        self._probes = probes
         self._on_owner_found = on_owner_found
         self._on_unowned = on_unowned
         self._queries = LookupQueries(directory, clock, send_message)
+        self._reply_time = ReplyTime()
         self._pending: dict[bytes, FlowLookup] = {}
         self._round_timer: asyncio.TimerHandle | None = None
         self._round_at = timedelta()
@@ -155,6 +158,7 @@
         query = self._queries.pop_query(reply, sender)
         if query is None:
             return
+        self._reply_time.record(self._clock.monotonic() - query.sent_at)
         for index, flow in enumerate(query.flows):
             lookup = self._pending.get(flow)
             if lookup is None or query.sent_at < lookup.started:
@@ -196,7 +200,8 @@
         be older than the configuration that set the services of its route.
         """
         flow = packet.caller_flow
-        lookup = FlowLookup(flow, packet, now, now, now + LOOKUP_STAGE_TIMEOUT)
+        due = now + self._two_replies(LOOKUP_STAGE_TIMEOUT)
+        lookup = FlowLookup(flow, packet, now, now, due)
         self._pending[flow] = lookup
         possible_owners = self._companions.possible_owners()
         for service in services:
@@ -270,7 +275,7 @@
             self._counters.add("lookups_postponed")
             lookup.due = now + LOOKUP_STAGE_TIMEOUT
             return
-        lookup.due = now + LOOKUP_RETRY_INTERVAL
+        lookup.due = now + self._two_replies(LOOKUP_RETRY_INTERVAL)
         lookup.awaited = {each.server.identity for each in remaining}
         if not lookup.has_queried_all:
             lookup.has_queried_all = True
@@ -299,7 +304,11 @@
         shares = route.shares if route is not None else ()
         if companion.server.service in {share.service for share in shares}:
             lookup.probed[companion.fleet_address] = identity
-            self._probe(lookup.first_packet, companion)
+            self._probes.add(lookup.first_packet, companion)
+
+    def _two_replies(self, minimum: timedelta) -> timedelta:
+        """Return the time in which a query and a probe are answered."""
+        return min(self._reply_time.timeout(minimum / 2) * 2, LOOKUP_IDLE_TIMEOUT)
 
     def _end_denied(self, lookup: FlowLookup, now: timedelta) -> None:
         """End a lookup that all have denied, once the directory was complete."""
--- /dev/null
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/server_probes.py
@@ -0,0 +1,90 @@
+"""Packets of unknown flows, sent to the backend servers that may own them."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+
+import msgspec
+
+from pomelotrail_balancer.placement import CompanionView
+from pomelotrail_core.datagram_callback import SendDatagram
+from pomelotrail_core.endpoint import pack_address
+from pomelotrail_core.flows import Mark, Packet, PacketCodec
+from pomelotrail_core.offers import ProbeRequest, encode
+
+from .const import (
+    BATCH_INTERVAL,
+    DATAGRAM_OVERHEAD_BYTES,
+    MAX_PROBES_PER_REQUEST,
+    PROBE_REPLY_COST,
+    QUERY_BYTES,
+)
+
+
+class _PendingProbes(msgspec.Struct, eq=False):
+    """A packet and the companions that it is sent to, by their service label."""
+
+    packet: Packet
+    companions: dict[int, list[CompanionView]] = msgspec.field(default_factory=dict)
+
+
+class ServerProbes:
+    """Sends a packet of a flow to all servers whose companions are unsure.
+
+    Handles this load pattern: all processes were killed while callers kept their
+    flows open. No companion knows the flows of its server, so each flow needs a
+    packet at every server, which would fill a slow link for seconds. The balancer
+    sends the packet once, to one of the companions, and that one sends it on::
+
+        probes.add(packet, companion)
+    """
+
+    def __init__(
+        self,
+        codec: PacketCodec,
+        send_packet: SendDatagram,
+        send_message: SendDatagram,
+        spend: Callable[[float], None],
+    ) -> None:
+        """Report the cost of probes, in lookup queries, to ``spend``."""
+        self._codec = codec
+        self._send_packet = send_packet
+        self._send_message = send_message
+        self._spend = spend
+        self._pending: dict[bytes, _PendingProbes] = {}
+
+    def add(self, packet: Packet, companion: CompanionView) -> None:
+        """Probe the server of a companion together with those that follow soon."""
+        if not self._pending:
+            loop = asyncio.get_running_loop()
+            loop.call_later(BATCH_INTERVAL.total_seconds(), self._send)
+        flow = packet.caller_flow
+        pending = self._pending.setdefault(flow, _PendingProbes(packet))
+        pending.companions.setdefault(companion.label, []).append(companion)
+
+    def _send(self) -> None:
+        """Send the pending probes."""
+        pending, self._pending = self._pending, {}
+        for probes in pending.values():
+            for label, companions in probes.companions.items():
+                data = self._codec.with_label(probes.packet, label, Mark.LOOKUP)
+                for start in range(0, len(companions), MAX_PROBES_PER_REQUEST):
+                    batch = companions[start : start + MAX_PROBES_PER_REQUEST]
+                    self._send_probes(probes.packet.caller_flow, data, batch)
+
+    def _send_probes(
+        self, flow: bytes, data: bytes, companions: list[CompanionView]
+    ) -> None:
+        """Send a packet to companions of one service."""
+        if len(companions) == 1:
+            self._send_packet(data, companions[0].packets_address)
+            size = len(data)
+        else:
+            # All of them have just replied; the hash spreads the work.
+            relay = companions[zlib.crc32(flow) % len(companions)]
+            addresses = tuple(pack_address(each.fleet_address) for each in companions)
+            message = encode(ProbeRequest(data, addresses))
+            self._send_message(message, relay.fleet_address)
+            size = len(message)
+        sent_cost = (size + DATAGRAM_OVERHEAD_BYTES) / QUERY_BYTES
+        self._spend(sent_cost + len(companions) * PROBE_REPLY_COST)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -6,7 +6,11 @@
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
-from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES, unpack_address
+from pomelotrail_core.endpoint import (
+    PACKED_ENDPOINT_BYTES,
+    pack_address,
+    unpack_address,
+)
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import SEQUENCE_RANGE, Mark, Packet, PacketCodec, flow_text
 from pomelotrail_core.offers import (
@@ -17,6 +21,8 @@
     Owner,
     Ping,
     Pong,
+    Probe,
+    ProbeRequest,
     decode,
     encode,
     service_label,
@@ -25,6 +31,7 @@
 from .addresses import ServerProxyAddresses
 from .cold_budget import ColdBudget
 from .const import (
+    MAX_RELAYED_PROBES,
     MILLISECOND,
     SERVER_ACCEPT_TIMEOUT,
     SWEEP_INTERVAL,
@@ -107,27 +114,16 @@
                 load = self._flows.load(self._clock.monotonic())
                 pong = Pong(number, load, len(self._flows))
                 self._send_message(encode(pong), sender)
+            case ProbeRequest() as request:
+                self._relay_probe(request, sender)
+            case Probe(packet, balancer) if len(balancer) == PACKED_ENDPOINT_BYTES:
+                self._handle_packet(packet, unpack_address(balancer))
             case _:
                 self._counters.add("messages_malformed")
 
     def receive_packet(self, data: bytes, sender: Address) -> None:
         """Handle a packet that a balancer forwarded."""
-        packet = self._codec.decode(data)
-        if packet is None:
-            self._counters.add("packets_malformed")
-            return
-        balancer = (sender[0], self._addresses.fleet_port)
-        if packet.label != self._label:
-            self._counters.add("packets_of_other_services")
-            self._ownership.deny(packet, packet.mark, balancer)
-            return
-        entry = self._flows.get(packet.caller_flow)
-        if entry is None:
-            self._ownership.handle_unknown_flow(packet, balancer)
-        elif self._matches_flow(entry, packet):
-            self._deliver(entry, packet, balancer)
-        else:
-            self._ownership.deny(packet, packet.mark, balancer)
+        self._handle_packet(data, (sender[0], self._addresses.fleet_port))
 
     def receive_from_server(self, data: bytes, sender: Address) -> None:
         """Handle a packet of the backend server."""
@@ -162,6 +158,37 @@
             self._release_requests(now)
             self._ownership.sweep(now)
 
+    def _handle_packet(self, data: bytes, balancer: Address) -> None:
+        """Handle a packet of a balancer, whose messages port is given."""
+        packet = self._codec.decode(data)
+        if packet is None:
+            self._counters.add("packets_malformed")
+            return
+        if packet.label != self._label:
+            self._counters.add("packets_of_other_services")
+            self._ownership.deny(packet, packet.mark, balancer)
+            return
+        entry = self._flows.get(packet.caller_flow)
+        if entry is None:
+            self._ownership.handle_unknown_flow(packet, balancer)
+        elif self._matches_flow(entry, packet):
+            self._deliver(entry, packet, balancer)
+        else:
+            self._ownership.deny(packet, packet.mark, balancer)
+
+    def _relay_probe(self, request: ProbeRequest, balancer: Address) -> None:
+        """Send the packet of a balancer on a slow link to several companions."""
+        addresses = request.addresses
+        if len(addresses) > MAX_RELAYED_PROBES or any(
+            len(each) != PACKED_ENDPOINT_BYTES for each in addresses
+        ):
+            self._counters.add("messages_malformed")
+            return
+        message = encode(Probe(request.packet, pack_address(balancer)))
+        for address in addresses:
+            self._send_message(message, unpack_address(address))
+        self._counters.add("probes_relayed", len(addresses))
+
     def _handle_offer(self, offer: Offer, balancer: Address) -> None:
         """Accept or decline an offer."""
         packet = self._codec.decode(offer.packet)
--- a/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
@@ -12,6 +12,8 @@
     Owner,
     Ping,
     Pong,
+    Probe,
+    ProbeRequest,
 )
 
 __all__ = [
@@ -25,6 +27,8 @@
     "Owner",
     "Ping",
     "Pong",
+    "Probe",
+    "ProbeRequest",
     "decode",
     "encode",
     "service_label",
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -110,6 +110,28 @@
     unsettled_ms: int = 0
 
 
+class ProbeRequest(_Message, tag=9):
+    """Request of a balancer to probe several backend servers with the same packet.
+
+    The receiver sends the packet to the companions at ``addresses``, which are the
+    packed addresses of their fleet ports. On the link of the balancer, one message
+    takes the place of one for each server.
+    """
+
+    packet: bytes
+    addresses: tuple[bytes, ...]
+
+
+class Probe(_Message, tag=10):
+    """A packet that a companion sends on behalf of a balancer, to probe a server.
+
+    Replies go to ``balancer``, the packed address of its fleet port.
+    """
+
+    packet: bytes
+    balancer: bytes
+
+
 class Ping(_Message, tag=5):
     """Probe of a balancer for a companion that was unreachable."""
 
@@ -125,5 +147,14 @@
 
 
 FleetMessage = (
-    Offer | OfferReply | Owner | Lookup | LookupReply | LookupMiss | Ping | Pong
+    Offer
+    | OfferReply
+    | Owner
+    | Lookup
+    | LookupReply
+    | LookupMiss
+    | ProbeRequest
+    | Probe
+    | Ping
+    | Pong
 )
--- a/stand_ins/flows/network.py
+++ b/stand_ins/flows/network.py
@@ -17,6 +17,7 @@
 from pomelotrail_core.event_log import EventLog
 
 HOP_DELAY_S: Final = 0.001
+IP_AND_UDP_HEADER_BYTES: Final = 28
 
 
 class Network(abc.ABC):
@@ -31,15 +32,35 @@
         """Return a function that sends datagrams from an address."""
 
 
+class SlowLink:
+    """One direction of a link, with a queue of the datagrams that wait for it."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        """Initialize an idle link."""
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0
+
+    def occupy(self, datagram_bytes: int, now: float) -> float:
+        """Queue a datagram; return the seconds until the link has carried it."""
+        carried_bytes = datagram_bytes + IP_AND_UDP_HEADER_BYTES
+        self._free_at = max(self._free_at, now) + carried_bytes / self._bytes_per_s
+        return self._free_at - now
+
+
 class MemoryNetwork(Network):
     """A network with a delay of one hop in virtual time and hosts that can be down."""
 
     def __init__(self) -> None:
         """Initialize without receivers."""
         self._receivers: dict[Address, DatagramHandler] = {}
+        self._links: dict[str, tuple[SlowLink, SlowLink]] = {}
         self.down_hosts: set[str] = set()
         self.sent = 0
 
+    def limit_link(self, host: str, bytes_per_s: float) -> None:
+        """Give a host a slow link; the links of other hosts have no limit."""
+        self._links[host] = (SlowLink(bytes_per_s), SlowLink(bytes_per_s))
+
     def listen(self, address: Address, receive: DatagramHandler) -> None:
         """Register a function for datagrams to an address."""
         self._receivers[address] = receive
@@ -62,10 +83,24 @@
             self.sent += 1
             if source[0] not in self.down_hosts:
                 loop = asyncio.get_running_loop()
-                loop.call_later(HOP_DELAY_S, self._deliver, data, source, target)
+                delay = HOP_DELAY_S
+                if source[0] in self._links:
+                    outgoing, _ = self._links[source[0]]
+                    delay += outgoing.occupy(len(data), loop.time())
+                loop.call_later(delay, self._arrive, data, source, target)
 
         return send
 
+    def _arrive(self, data: bytes, source: Address, target: Address) -> None:
+        """Deliver a datagram, or queue it at the slow link of its target."""
+        if target[0] not in self._links:
+            self._deliver(data, source, target)
+            return
+        loop = asyncio.get_running_loop()
+        _, incoming = self._links[target[0]]
+        delay = incoming.occupy(len(data), loop.time())
+        loop.call_later(delay, self._deliver, data, source, target)
+
     def _deliver(self, data: bytes, source: Address, target: Address) -> None:
         """Deliver a datagram if the target still receives and is up."""
         receive = self._receivers.get(target)
