Placement: use free slots of a route's other services before a queue

Change: the weights decide while the selected service has a free slot. Before a flow waits, it is offered to the route's other services; if none has a slot, the shortest queue of any of them is chosen. A weight of 0 still means no flows.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -209,12 +209,22 @@
             self.stop_companion(host)
             self.start_companion(host)
 
-    def listing(self, version: int = 1, service: str = SERVICE) -> Listing:
-        """Return the store's listing, with a route to ``service``."""
+    def move_to_service(self, host: str, service: str) -> None:
+        """Let a backend server belong to another service, and restart its companion."""
+        self.servers[host].service = service
+        self.stop_companion(host)
+        self.proxies[host] = self.start_companion(host, True)
+
+    def listing(
+        self,
+        version: int = 1,
+        shares: tuple[ServiceShare, ...] = (ServiceShare(SERVICE),),
+    ) -> Listing:
+        """Return the store's listing, with a route to the services of ``shares``."""
         route = Route(
             "board",
             Endpoint(*SERVICE_ADDRESS),
-            (ServiceShare(service),),
+            shares,
             timedelta(seconds=4),
             timedelta(milliseconds=250),
             1,
@@ -233,9 +243,11 @@
 
     def server_entry(self, host: str, revision: int) -> BackendServer:
         """Return the directory entry of a backend server."""
+        service = self.servers[host].service
+        name = "server" if service == SERVICE else service
         return BackendServer(
-            identity=f"server-{host}",
-            service=SERVICE,
+            identity=f"{name}-{host}",
+            service=service,
             endpoint=Endpoint(host, SERVER_PORT),
             zone="zone-1",
             slots=self.slots,
--- a/harness/tests/test_flow_admission.py
+++ b/harness/tests/test_flow_admission.py
@@ -5,9 +5,14 @@
 
 import msgspec
 
-from harness.flow_fleet import FlowFleet
+from harness.flow_fleet import SERVICE, FlowFleet
 from harness.virtual_time import run_in_virtual_time
-from pomelotrail_core.directory import Listing, ServerItem, ServerState
+from pomelotrail_core.directory import (
+    Listing,
+    ServerItem,
+    ServerState,
+    ServiceShare,
+)
 
 
 class AdmissionTest(unittest.TestCase):
@@ -195,3 +200,55 @@
             )
 
         run_in_virtual_time(async_run())
+
+
+class SeveralServicesTest(unittest.TestCase):
+    """A route whose operators send most new flows to the smaller service."""
+
+    def test_flows_use_the_service_with_free_slots(self) -> None:
+        """Requests are on time although one service can't carry its share."""
+
+        async def async_run() -> tuple[list[float], FlowFleet]:
+            """Return the response times of 100 requests and the fleet."""
+            fleet = FlowFleet(servers=4, slots=2)
+            small, *large = fleet.servers
+            fleet.move_to_service(small, "certificate-desk")
+            shares = (ServiceShare("certificate-desk", 9.0), ServiceShare(SERVICE, 1.0))
+            fleet.directory().replace(fleet.listing(2, shares))
+            for server in fleet.servers.values():
+                server.work_s = 0.06
+            tasks = []
+            for _ in range(100):
+                tasks.append(asyncio.create_task(async_time_request(fleet)))
+                await asyncio.sleep(0.015)
+            return await asyncio.gather(*tasks), fleet
+
+        response_times, fleet = run_in_virtual_time(async_run())
+        self.assertLess(max(response_times), 0.2)
+        counts = [len(each.executed_requests) for each in fleet.servers.values()]
+        self.assertEqual(counts[0], max(counts))
+
+    def test_service_without_weight_gets_no_flow(self) -> None:
+        """A weight of 0 takes a service out, however full the others are."""
+
+        async def async_run() -> FlowFleet:
+            """Open more flows than the only server with a weight has slots."""
+            fleet = FlowFleet(servers=2, slots=1)
+            removed, _ = fleet.servers
+            fleet.move_to_service(removed, "certificate-desk")
+            shares = (ServiceShare("certificate-desk", 0.0), ServiceShare(SERVICE, 1.0))
+            fleet.directory().replace(fleet.listing(2, shares))
+            await asyncio.gather(*(async_time_request(fleet) for _ in range(8)))
+            return fleet
+
+        fleet = run_in_virtual_time(async_run())
+        counts = [len(each.executed_requests) for each in fleet.servers.values()]
+        self.assertEqual(counts, [0, 8])
+
+
+async def async_time_request(fleet: FlowFleet) -> float:
+    """Return the seconds in which a request on a new flow is answered."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    await fleet.caller().async_open_and_request(b"one")
+    return loop.time() - started
--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import unittest
+from typing import Final
 
 import msgspec
 
 from harness.flow_fleet import FlowFleet
 from harness.virtual_time import run_in_virtual_time
-from pomelotrail_core.directory import Listing, RemovedItem, ServerItem
+from pomelotrail_core.directory import Listing, RemovedItem, ServerItem, ServiceShare
 from stand_ins.flows import StandInCaller
 
+OTHER_SERVICE: Final = (ServiceShare("certificate-desk"),)
+
 
 class EndedFlowTest(unittest.TestCase):
     """When flows are reset, and when they must not be."""
@@ -267,7 +270,7 @@
             caller = fleet.caller()
             await caller.async_open_and_request(b"one")
             fleet.start_balancer("192.0.2.200", is_listed=False)
-            fleet.directory().replace(fleet.listing(2, "certificate-desk"))
+            fleet.directory().replace(fleet.listing(2, OTHER_SERVICE))
             self.assertEqual(await caller.async_send_request(b"two"), b"answer to two")
 
         run_in_virtual_time(async_run())
@@ -282,7 +285,7 @@
             await caller.async_open_and_request(b"one")
             fleet.restart_companions(with_servers=True)
             fleet.start_balancer("192.0.2.200", is_listed=False)
-            fleet.directory().replace(fleet.listing(2, "certificate-desk"))
+            fleet.directory().replace(fleet.listing(2, OTHER_SERVICE))
             with self.assertRaises(TimeoutError):
                 await caller.async_send_request(b"two", 5)
             self.assertFalse(any(s.unknown_flows for s in fleet.servers.values()))
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -119,16 +119,14 @@
     ) -> None:
         """Offer the flow until a companion accepts it or all have declined."""
         service = _select_service(route, packet.caller_flow)
-        context = self._build_context(service, packet, record)
+        context = self._build_context(service, route, packet, record)
         outcomes: list[str] = []
         started = self._clock.monotonic()
         for _ in range(MAX_OFFERS):
             choice = self._policy.choose(context, self._clock.monotonic())
             if choice is None:
                 break
-            outcome = await self._async_offer(
-                choice, service, route, packet, record, started
-            )
+            outcome = await self._async_offer(choice, route, packet, record, started)
             if outcome is Outcome.ACCEPTED:
                 return
             if choice.companion in context.declined:
@@ -141,14 +139,23 @@
             self._refuse(packet, service, outcomes)
 
     def _build_context(
-        self, service: str, packet: Packet, record: FlowRecord
+        self, service: str, route: Route, packet: Packet, record: FlowRecord
     ) -> PlacementContext:
         """Return the companions for a flow, avoiding those that accepted it before."""
         candidates = self._companions.candidates(service)
         others = [each for each in candidates if each not in record.accepted_by]
         usable = others or candidates
+        alternatives = [
+            companion
+            for share in route.shares
+            if share.service != service and share.weight > 0
+            for companion in self._companions.candidates(share.service)
+            if companion not in record.accepted_by
+        ]
         flow = packet.caller_flow
-        return PlacementContext(self._companions.preferred(flow, usable), usable)
+        return PlacementContext(
+            self._companions.preferred(flow, usable), usable, alternatives
+        )
 
     def _refuse(self, packet: Packet, service: str, outcomes: list[str]) -> None:
         """Refuse a flow that no companion accepted; none of its requests has run.
@@ -172,7 +179,6 @@
     async def _async_offer(
         self,
         choice: Choice,
-        service: str,
         route: Route,
         packet: Packet,
         record: FlowRecord,
@@ -186,7 +192,7 @@
         companion = choice.companion
         number = next(self._numbers)
         pending = self._pending[number] = _PendingOffer(companion)
-        self._send_offer(number, choice, service, route, packet)
+        self._send_offer(number, choice, route, packet)
         try:
             outcome = await self._async_wait_for_reply(pending, OFFER_TIMEOUT)
             if outcome is None:
@@ -232,7 +238,7 @@
         return None
 
     def _send_offer(
-        self, number: int, choice: Choice, service: str, route: Route, packet: Packet
+        self, number: int, choice: Choice, route: Route, packet: Packet
     ) -> None:
         """Send and log an offer."""
         companion = choice.companion
@@ -241,7 +247,7 @@
         cold = self._directory.cold_flows_per_s(companion.server)
         offer = Offer(
             number=number,
-            service=service,
+            service=companion.server.service,
             limit=choice.limit,
             slots=companion.server.slots,
             cold_per_s=cold,
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -22,19 +22,28 @@
 class PlacementContext(msgspec.Struct):
     """Companions that may be offered a flow, and those that declined it.
 
-    ``preferred`` is a subset of ``candidates``. Companions in ``declined`` had no
-    free slot or did not reply; those in ``full`` also declined to queue the flow.
+    ``preferred`` is a subset of ``candidates``, the companions of the service that was
+    selected by weight; ``alternatives`` are those of the other services of the route.
+    Companions in ``declined`` had no free slot or did not reply; those in ``full`` also
+    declined to queue the flow.
     """
 
     preferred: Sequence[CompanionView]
     candidates: Sequence[CompanionView]
+    alternatives: Sequence[CompanionView] = ()
     declined: list[CompanionView] = msgspec.field(default_factory=list)
     full: list[CompanionView] = msgspec.field(default_factory=list)
 
     @property
     def others_declined(self) -> int:
-        """Return the number of companions that declined and aren't preferred."""
-        return sum(each not in self.preferred for each in self.declined)
+        """Return the number of other candidates that declined."""
+        others = (each for each in self.declined if each not in self.preferred)
+        return sum(each in self.candidates for each in others)
+
+    @property
+    def alternatives_declined(self) -> int:
+        """Return the number of companions of other services that declined."""
+        return sum(each in self.alternatives for each in self.declined)
 
 
 class PlacementPolicy(abc.ABC):
@@ -56,6 +65,11 @@
     a few replies, since offering to all takes longer than the queues. A flow is
     refused if even those queues are so long that waiting would take several times
     as long as processing.
+
+    Also handles this load pattern: operators give most of a route's flows to a service
+    that can't carry them, while other services of the route have free slots. The
+    weights of a route decide while the selected service has a free slot; before a flow
+    waits in a queue, it is offered to the other services.
     """
 
     def __init__(self, zone: str, random_source: random.Random) -> None:
@@ -71,7 +85,12 @@
             chosen := self._choose_free_slot(context.candidates, context, now)
         ):
             return chosen
-        queueable = [each for each in context.candidates if each not in context.full]
+        if context.alternatives_declined < MAX_OTHERS_DECLINED and (
+            chosen := self._choose_free_slot(context.alternatives, context, now)
+        ):
+            return chosen
+        allowed = [*context.candidates, *context.alternatives]
+        queueable = [each for each in allowed if each not in context.full]
         if queues := [each for each in queueable if not each.is_suspect]:
             return self._choose_least_loaded(queues, now, MAX_REQUESTS_PER_SLOT)
         suspects = [each for each in queueable if each not in context.declined]
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_policy.py
@@ -86,6 +86,31 @@
         full = [companion(n, 4 + n, reported_ms=90) for n in (1, 2, 3)]
         self.assertEqual(self.choose(*full), (1, 4 * MAX_REQUESTS_PER_SLOT))
 
+    def test_own_service_before_others(self) -> None:
+        """A busier server of the selected service is chosen while it has a slot."""
+        own, other = companion(1, 3, reported_ms=90), companion(2)
+        self.assertEqual(self.choose(own, alternatives=[other]), (1, 4))
+
+    def test_free_slot_of_another_service(self) -> None:
+        """A free slot of another service of the route is better than a queue."""
+        full = companion(1, 5, reported_ms=90)
+        self.assertEqual(self.choose(full, alternatives=[companion(2)]), (2, 4))
+
+    def test_few_offers_to_other_services(self) -> None:
+        """With old reports of many servers, a queue is chosen after a few offers."""
+        full = companion(1, 5, reported_ms=90)
+        others = [companion(number, 7) for number in range(2, 40)]
+        _, limit = self.choose(full, alternatives=others, declined=others[:1])
+        self.assertEqual(limit, 4)
+        _, limit = self.choose(full, alternatives=others, declined=others[:2])
+        self.assertEqual(limit, 4 * MAX_REQUESTS_PER_SLOT)
+
+    def test_shortest_queue_of_any_service(self) -> None:
+        """If no server of the route has a free slot, the shortest queue is chosen."""
+        own, other = companion(1, 9, reported_ms=90), companion(2, 5, reported_ms=90)
+        chosen = self.choose(own, alternatives=[other])
+        self.assertEqual(chosen, (2, 4 * MAX_REQUESTS_PER_SLOT))
+
     def test_refused_when_all_queues_are_full(self) -> None:
         """A flow is refused only if every companion declined to queue it."""
         full = [companion(n, 64, reported_ms=90) for n in (1, 2)]
