Waiting follows observed work and the route's timeout; reports are checked

MAX_REQUESTS_PER_SLOT 16, 60 ms a request and the times after which a request is overdue were fitted to earlier services.

Companions report the work time that they observe; balancers use it for the load since a report, for the shortest wait, and let a flow wait for 0.4 of its route's timeout at most. The first response replaces the first guess. Overdue and lost requests are told by 16 and 32 work times if those are longer.

Reports outside their plausible range are counted, logged once and not believed.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -53,6 +53,7 @@
 FROM_SERVER_PORT: Final = 4003
 SERVICE: Final = "stock-ledger"
 SERVICE_ADDRESS: Final = ("198.51.100.1", 443)
+ROUTE_TIMEOUT: Final = timedelta(seconds=4)
 FIRST_REVISION: Final = 100
 CALLERS_HOST: Final = "203.0.113.9"
 
@@ -225,7 +226,7 @@
             "board",
             Endpoint(*SERVICE_ADDRESS),
             shares,
-            timedelta(seconds=4),
+            ROUTE_TIMEOUT,
             timedelta(milliseconds=250),
             1,
             True,
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
@@ -25,6 +25,7 @@
 from .early_packets import EarlyPackets
 from .flow_placer import FlowPlacer
 from .flow_table import FlowTable
+from .load_reports import LoadReports
 from .lookups import FlowLookup, Lookups
 from .message_budget import MessageBudget
 from .opening_queue import OpeningQueue
@@ -86,10 +87,12 @@
             self._send_held_packets,
             self._reset_unowned,
         )
+        self._load_reports = LoadReports(clock, log, counters)
         self._placer = FlowPlacer(
             directory,
             companions,
             policy,
+            self._load_reports,
             clock,
             log,
             counters,
@@ -225,7 +228,7 @@
             self._log.write(
                 "companions", "answers_again", server=companion.server.identity
             )
-        companion.record_report(pong.occupancy, pong.flows, self._clock.monotonic())
+        self._load_reports.record(companion, pong)
 
     def _reset(self, packet: Packet, reason: str) -> None:
         """Send the caller a reset because its flow has no backend server."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -15,6 +15,7 @@
     PlacementContext,
     PlacementPolicy,
 )
+from pomelotrail_balancer.placement.const import MAX_WAIT_SHARE
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
@@ -33,6 +34,7 @@
     SERVER_ANSWER_TIMEOUT,
 )
 from .flow_table import FlowRecord
+from .load_reports import LoadReports
 
 _PART = "placement"
 _NO_REPLY = "silent"
@@ -58,6 +60,7 @@
         directory: Directory,
         companions: Companions,
         policy: PlacementPolicy,
+        load_reports: LoadReports,
         clock: Clock,
         log: EventLog,
         counters: Counters,
@@ -68,6 +71,7 @@
         self._directory = directory
         self._companions = companions
         self._policy = policy
+        self._load_reports = load_reports
         self._clock = clock
         self._log = log
         self._counters = counters
@@ -97,8 +101,7 @@
         pending = self._pending.get(message.number)
         if pending is None or pending.companion.fleet_address != sender:
             return
-        now = self._clock.monotonic()
-        pending.companion.record_report(message.occupancy, message.flows, now)
+        self._load_reports.record(pending.companion, message)
         pending.replies.put_nowait(message)
 
     def _is_queued_retransmission(self, record: FlowRecord) -> bool:
@@ -154,7 +157,10 @@
         ]
         flow = packet.caller_flow
         return PlacementContext(
-            self._companions.preferred(flow, usable), usable, alternatives
+            self._companions.preferred(flow, usable),
+            usable,
+            alternatives,
+            max_wait=route.timeout * MAX_WAIT_SHARE,
         )
 
     def _refuse(self, packet: Packet, service: str, outcomes: list[str]) -> None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/__init__.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/__init__.py
@@ -1,6 +1,6 @@
 """Selection of the companion that is offered a new flow."""
 
-from .companion_view import CompanionView
+from .companion_view import CompanionView, is_plausible_report
 from .companions import Companions
 from .policy import Choice, PlacementContext, PlacementPolicy, ShortestQueue
 
@@ -11,4 +11,5 @@
     "PlacementPolicy",
     "ShortestQueue",
     "PlacementContext",
+    "is_plausible_report",
 ]
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -6,15 +6,23 @@
 
 from pomelotrail_core.directory import BackendServer
 
-from .const import OPEN_FLOW_LOAD, TYPICAL_REQUEST_DURATION
+from .const import (
+    INITIAL_WORK_ESTIMATE,
+    MAX_REPORTED_REQUESTS,
+    MAX_REPORTED_WORK,
+    OPEN_FLOW_LOAD,
+)
 
 Address = tuple[str, int]
 
+_MILLISECOND = timedelta(milliseconds=1)
+
 
 class CompanionView(msgspec.Struct, eq=False):
     """A companion with the load that it last reported.
 
-    ``offered_flows`` counts the flows offered since that report.
+    ``offered_flows`` counts the flows offered since that report. ``work`` is the
+    processing time of a request that the companion observed.
     """
 
     server: BackendServer
@@ -27,10 +35,15 @@
     flows: int = 0
     offered_flows: int = 0
     reported_at: timedelta | None = None
+    work: timedelta = INITIAL_WORK_ESTIMATE
     is_suspect: bool = False
 
-    def record_report(self, occupancy: int, flows: int, now: timedelta) -> None:
+    def record_report(
+        self, occupancy: int, flows: int, now: timedelta, work_ms: float = 0.0
+    ) -> None:
         """Record a load report of the companion."""
+        if work_ms:
+            self.work = work_ms * _MILLISECOND
         self.occupancy = occupancy
         self.flows = flows
         self.offered_flows = 0
@@ -46,9 +59,18 @@
         """Return the estimated number of requests that are not completed yet."""
         if self.reported_at is None:
             return float(self.offered_flows)
-        completed = (now - self.reported_at) / TYPICAL_REQUEST_DURATION * self.slots
+        completed = (now - self.reported_at) / self.work * self.slots
         return self.offered_flows + max(0.0, self.occupancy - completed)
 
     def load(self, now: timedelta) -> float:
         """Return the estimated load per slot, including open flows."""
         return (self.estimated_requests(now) + self.flows * OPEN_FLOW_LOAD) / self.slots
+
+
+def is_plausible_report(occupancy: int, flows: int, work_ms: float) -> bool:
+    """Return whether a load report may be believed."""
+    return (
+        0 <= occupancy <= MAX_REPORTED_REQUESTS
+        and 0 <= flows <= MAX_REPORTED_REQUESTS
+        and 0 <= work_ms <= MAX_REPORTED_WORK / _MILLISECOND
+    )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/const.py
@@ -3,9 +3,12 @@
 from datetime import timedelta
 from typing import Final
 
-# A slot completes about one request in this time; the reported requests per slot,
-# multiplied by it, give the time until the reported load is completed.
-TYPICAL_REQUEST_DURATION: Final = timedelta(milliseconds=60)
+# Used for a companion that hasn't reported how long its server works on a request.
+INITIAL_WORK_ESTIMATE: Final = timedelta(milliseconds=60)
+# Reports outside these ranges are not believed. A backend server has up to 2,000 flows,
+# each with one request, and the timeout of the longest request is 12 s.
+MAX_REPORTED_REQUESTS: Final = 100_000
+MAX_REPORTED_WORK: Final = timedelta(seconds=60)
 # An open flow counts as this fraction of a request in progress: callers that keep
 # flows open send about one request of 60 ms per second.
 OPEN_FLOW_LOAD: Final = 0.06
@@ -17,6 +20,10 @@
 PREFERRED_IN_OTHER_ZONES: Final = 3
 # After the preferred companions, this many others are offered a flow for a free slot.
 MAX_OTHERS_DECLINED: Final = 2
-# Limit of running and waiting requests per slot up to which waiting is better than a
-# refusal: at 100 ms each, a request waits for less than half the shortest timeout.
-MAX_REQUESTS_PER_SLOT: Final = 16
+# Used for a flow whose route has no timeout.
+DEFAULT_MAX_WAIT: Final = timedelta(seconds=1)
+# A flow may wait for this share of its route's timeout. The rest is left for its
+# request and for errors of the estimate.
+MAX_WAIT_SHARE: Final = 0.4
+# Limits the memory for waiting requests of services that work for less than 1 ms.
+MAX_REQUESTS_PER_SLOT: Final = 500
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -8,7 +8,12 @@
 import msgspec
 
 from .companion_view import CompanionView
-from .const import MAX_OTHERS_DECLINED, MAX_REQUESTS_PER_SLOT, OTHER_ZONE_LOAD
+from .const import (
+    DEFAULT_MAX_WAIT,
+    MAX_OTHERS_DECLINED,
+    MAX_REQUESTS_PER_SLOT,
+    OTHER_ZONE_LOAD,
+)
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -25,7 +30,7 @@
     ``preferred`` is a subset of ``candidates``, the companions of the service that was
     selected by weight; ``alternatives`` are those of the other services of the route.
     Companions in ``declined`` had no free slot or did not reply; those in ``full`` also
-    declined to queue the flow.
+    declined to queue the flow. ``max_wait`` is how long the flow may wait in a queue.
     """
 
     preferred: Sequence[CompanionView]
@@ -33,6 +38,7 @@
     alternatives: Sequence[CompanionView] = ()
     declined: list[CompanionView] = msgspec.field(default_factory=list)
     full: list[CompanionView] = msgspec.field(default_factory=list)
+    max_wait: timedelta = DEFAULT_MAX_WAIT
 
     @property
     def others_declined(self) -> int:
@@ -62,9 +68,9 @@
     instead of a wait in a queue: first to the preferred companions, then to all,
     skipping those that have no free slot according to their reports. If no server
     had a free slot, the flow may wait in the shortest queue; this is decided after
-    a few replies, since offering to all takes longer than the queues. A flow is
-    refused if even those queues are so long that waiting would take several times
-    as long as processing.
+    a few replies, since offering to all takes longer than the queues. How many
+    requests may wait at a server follows from its observed processing time and the
+    timeout of the route; a flow is refused if it would wait too long everywhere.
 
     Also handles this load pattern: operators give most of a route's flows to a service
     that can't carry them, while other services of the route have free slots. The
@@ -92,9 +98,9 @@
         allowed = [*context.candidates, *context.alternatives]
         queueable = [each for each in allowed if each not in context.full]
         if queues := [each for each in queueable if not each.is_suspect]:
-            return self._choose_least_loaded(queues, now, MAX_REQUESTS_PER_SLOT)
+            return self._choose_shortest_queue(queues, context.max_wait, now)
         suspects = [each for each in queueable if each not in context.declined]
-        return self._choose_least_loaded(suspects, now, 1) if suspects else None
+        return self._choose_least_loaded(suspects, now) if suspects else None
 
     def _choose_free_slot(
         self, pool: Sequence[CompanionView], context: PlacementContext, now: timedelta
@@ -107,18 +113,24 @@
             and not each.is_suspect
             and each.estimated_requests(now) < each.slots
         ]
-        return self._choose_least_loaded(free, now, 1) if free else None
+        return self._choose_least_loaded(free, now) if free else None
 
     def _choose_least_loaded(
-        self,
-        companions: Sequence[CompanionView],
-        now: timedelta,
-        requests_per_slot: int,
+        self, companions: Sequence[CompanionView], now: timedelta
     ) -> Choice:
-        """Return the companion with the lowest load."""
+        """Return the companion with the lowest load, limited to its free slots."""
         loads = [(self._load(each, now), each) for each in companions]
         load, chosen = min(loads, key=lambda pair: pair[0])
-        return Choice(chosen, chosen.slots * requests_per_slot, load)
+        return Choice(chosen, chosen.slots, load)
+
+    def _choose_shortest_queue(
+        self, companions: Sequence[CompanionView], max_wait: timedelta, now: timedelta
+    ) -> Choice:
+        """Return the companion where a flow waits for the shortest time."""
+        waits = [(self._load(each, now) * each.work, each) for each in companions]
+        wait, chosen = min(waits, key=lambda pair: pair[0])
+        per_slot = min(max(1, int(max_wait / chosen.work)), MAX_REQUESTS_PER_SLOT)
+        return Choice(chosen, chosen.slots * per_slot, wait / chosen.work)
 
     def _load(self, companion: CompanionView, now: timedelta) -> float:
         """Return the load, including the cost of a hop to another zone."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/tests/test_request_queue.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/tests/test_request_queue.py
@@ -147,3 +147,11 @@
         for _ in range(60):
             estimate.record(200 * _MS)
         self.assertAlmostEqual(estimate.value / _MS, 200, delta=2)
+
+    def test_first_response_replaces_the_default(self) -> None:
+        """Services ten times faster or slower are estimated after one response."""
+        for milliseconds in (6, 600):
+            estimate = WorkEstimate()
+            self.assertEqual(estimate.observed_ms, 0)
+            estimate.record(milliseconds * _MS)
+            self.assertEqual(estimate.observed_ms, milliseconds)
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/work_estimate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/work_estimate.py
@@ -6,17 +6,29 @@
 
 
 class WorkEstimate:
-    """Moving average of the time from delivery to response."""
+    """Moving average of the time from delivery to response.
+
+    The first responses replace the default: a service that is ten times faster or
+    slower than usual is estimated correctly after a few requests.
+    """
 
     def __init__(self) -> None:
         """Initialize with the default estimate."""
         self._value = INITIAL_ESTIMATE
+        self._responses = 0
 
     @property
     def value(self) -> timedelta:
         """Return the estimate."""
         return self._value
 
+    @property
+    def observed_ms(self) -> float:
+        """Return the estimate in milliseconds, or 0 without a response."""
+        return self._value.total_seconds() * 1000 if self._responses else 0.0
+
     def record(self, duration: timedelta) -> None:
         """Include the duration of a response."""
-        self._value += (duration - self._value) * ESTIMATE_WEIGHT
+        self._responses += 1
+        weight = max(ESTIMATE_WEIGHT, 1 / self._responses)
+        self._value += (duration - self._value) * weight
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
@@ -13,10 +13,14 @@
 SERVER_ACCEPT_TIMEOUT: Final = timedelta(milliseconds=60)
 # The longest request timeout of callers is 12 s; a later response is discarded.
 REQUEST_TIMEOUT: Final = timedelta(seconds=12)
-# Longer than any request runs; after it the slot of the request counts as free.
+# After this time, or this many times the observed processing time if that is longer,
+# the slot of a request counts as free: no request of a service runs longer.
 RUNNING_TIMEOUT: Final = timedelta(seconds=2)
-# The longest request runs for 480 ms; a server at half speed responds in time.
+RUNNING_WORK_FACTOR: Final = 32
+# A request that runs this long is probably lost, as with the timeout above; a server
+# at half speed responds in time.
 OVERDUE_AFTER: Final = timedelta(seconds=1)
+OVERDUE_WORK_FACTOR: Final = 16
 # A server with intermittent failures fails again within seconds; a server that has
 # recovered should soon get new flows again.
 UNANSWERED_WINDOW: Final = timedelta(seconds=5)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
@@ -21,10 +21,10 @@
     forwarded at once.
     """
 
-    def __init__(self, flows: ServerFlows) -> None:
+    def __init__(self, flows: ServerFlows, estimate: WorkEstimate) -> None:
         """Limit the requests of the server whose flows are tracked."""
         self._flows = flows
-        self._estimate = WorkEstimate()
+        self._estimate = estimate
         self._queue = RequestQueue(OnTimeFirst(), self._estimate)
         self._slots: int | None = None
 
@@ -32,6 +32,11 @@
         """Return the number of waiting requests."""
         return len(self._queue)
 
+    @property
+    def work_ms(self) -> float:
+        """Return the observed processing time of a request; 0 if none was observed."""
+        return self._estimate.observed_ms
+
     def set_slots(self, slots: int) -> None:
         """Set the number of slots from the backend server's directory entry."""
         self._slots = max(1, slots)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pomelotrail_companion.request_queue import WorkEstimate
 from pomelotrail_companion.request_queue.const import DEFAULT_PRIORITY, DEFAULT_TARGET
 from pomelotrail_core.datagram_callback import Address
 from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES
@@ -17,8 +18,10 @@
     MAX_FLOWS,
     OPENING_TIMEOUT,
     OVERDUE_AFTER,
+    OVERDUE_WORK_FACTOR,
     REQUEST_TIMEOUT,
     RUNNING_TIMEOUT,
+    RUNNING_WORK_FACTOR,
     UNANSWERED_LOAD_PENALTY,
     UNANSWERED_WINDOW,
 )
@@ -74,8 +77,9 @@
         flows.occupancy
     """
 
-    def __init__(self) -> None:
-        """Initialize without flows."""
+    def __init__(self, estimate: WorkEstimate) -> None:
+        """Initialize without flows; ``estimate`` is the server's processing time."""
+        self._estimate = estimate
         self._flows: dict[bytes, ServerFlow] = {}
         self._openings: deque[ServerFlow] = deque()
         self._in_progress = 0
@@ -108,7 +112,8 @@
         while self._unanswered and now - self._unanswered[0] >= UNANSWERED_WINDOW:
             self._unanswered.popleft()
         running = self._running.values()
-        overdue = sum(now - entry.started >= OVERDUE_AFTER for entry in running)
+        overdue_after = max(OVERDUE_AFTER, self._estimate.value * OVERDUE_WORK_FACTOR)
+        overdue = sum(now - entry.started >= overdue_after for entry in running)
         return self._in_progress + UNANSWERED_LOAD_PENALTY * (
             overdue + len(self._unanswered)
         )
@@ -218,11 +223,14 @@
     def sweep(self, now: timedelta) -> list[ServerFlow]:
         """Remove expired flows and return the flows whose request timed out."""
         unanswered = []
+        running_timeout = max(
+            RUNNING_TIMEOUT, self._estimate.value * RUNNING_WORK_FACTOR
+        )
         for flow, entry in list(self._flows.items()):
             if now - entry.last_used >= _idle_timeout(entry):
                 self.remove(flow)
             elif entry.started is not None:
-                if now - entry.started >= RUNNING_TIMEOUT:
+                if now - entry.started >= running_timeout:
                     self.record_unanswered(entry, now)
                     unanswered.append(entry)
             elif (
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 from datetime import datetime, timedelta
 
+from pomelotrail_companion.request_queue import WorkEstimate
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
@@ -82,8 +83,9 @@
         self._send_packet = send_packet
         self._send_message = send_message
         self._send_to_server = send_to_server
-        self._flows = ServerFlows()
-        self._gate = RequestGate(self._flows)
+        estimate = WorkEstimate()
+        self._flows = ServerFlows(estimate)
+        self._gate = RequestGate(self._flows, estimate)
         self._budget = ColdBudget(clock.monotonic())
         self._ownership = Ownership(
             service,
@@ -112,7 +114,7 @@
                 self._ownership.answer_lookup(lookup, sender)
             case Ping(number):
                 load = self._flows.load(self._clock.monotonic())
-                pong = Pong(number, load, len(self._flows))
+                pong = Pong(number, load, len(self._flows), self._gate.work_ms)
                 self._send_message(encode(pong), sender)
             case ProbeRequest() as request:
                 self._relay_probe(request, sender)
@@ -203,7 +205,9 @@
         if outcome is Outcome.ACCEPTED:
             self._accept_opening(offer, packet, balancer, now)
         load = self._flows.load(now)
-        reply = OfferReply(offer.number, outcome, load, len(self._flows))
+        reply = OfferReply(
+            offer.number, outcome, load, len(self._flows), self._gate.work_ms
+        )
         self._send_message(encode(reply), balancer)
         self._counters.add(f"offers_{outcome.name.lower()}")
         self._log.write(
@@ -333,7 +337,9 @@
     def _correct_offer_reply(self, entry: ServerFlow, outcome: Outcome) -> None:
         """Correct the reply to an accepted offer."""
         load = self._flows.load(self._clock.monotonic())
-        reply = OfferReply(entry.offer_number, outcome, load, len(self._flows))
+        reply = OfferReply(
+            entry.offer_number, outcome, load, len(self._flows), self._gate.work_ms
+        )
         self._send_message(encode(reply), entry.balancer)
         self._log.write(
             _PART,
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -53,12 +53,14 @@
 
     ``occupancy`` counts requests in progress and flows about to send their first one,
     plus an extra weight for unanswered requests; ``flows`` counts all open flows.
+    ``work_ms`` is the observed processing time of a request; 0 if none was observed.
     """
 
     number: int
     outcome: Outcome
     occupancy: int
     flows: int
+    work_ms: float = 0.0
 
 
 class Owner(_Message, tag=3):
@@ -139,11 +141,12 @@
 
 
 class Pong(_Message, tag=6):
-    """Reply to a ping, with the load of the backend server."""
+    """Reply to a ping, with the load of the backend server, as in an offer reply."""
 
     number: int
     occupancy: int
     flows: int
+    work_ms: float = 0.0
 
 
 FleetMessage = (
