Lookups: probe the servers of unsure companions without asking first

A companion that was unsure within 5 s is not asked; its server gets the packet with the next probe request.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -131,6 +131,7 @@
         self._tasks: list[asyncio.Task] = []
         self._balancers: dict[str, FlowBalancer] = {}
         self._directories: dict[str, Directory] = {}
+        self._companions: dict[str, Companions] = {}
         for index in range(balancers):
             self.start_balancer(f"192.0.2.{100 + index}")
         self._current_balancer = next(iter(self._balancers))
@@ -154,10 +155,11 @@
             self.clock,
             lambda: self.on_refresh_requested(directory),
         )
+        companions = Companions(directory, "zone-1", PACKETS_PORT, FLEET_PORT)
         balancer = FlowBalancer(
             directory,
             check,
-            Companions(directory, "zone-1", PACKETS_PORT, FLEET_PORT),
+            companions,
             ShortestQueue("zone-1", random.Random(1)),
             CODEC,
             self.clock,
@@ -174,6 +176,7 @@
         self._tasks.append(early)
         self._balancers[host] = balancer
         self._directories[host] = directory
+        self._companions[host] = companions
         self._current_balancer = host
 
     def start_companion(self, host: str, is_first_start: bool = False) -> ServerProxy:
@@ -262,6 +265,10 @@
         """Return the directory of the balancer that receives callers' packets."""
         return self._directories[self._current_balancer]
 
+    def companions(self) -> Companions:
+        """Return what the balancer that receives callers' packets knows of them."""
+        return self._companions[self._current_balancer]
+
     def balancer_address(self) -> Address:
         """Return the address of the balancer that receives callers' packets."""
         return (self._current_balancer, PACKETS_PORT)
--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -7,6 +7,7 @@
 
 from harness.flow_fleet import FIRST_REVISION, SERVICE_ADDRESS, FlowFleet
 from harness.virtual_time import run_in_virtual_time
+from pomelotrail_balancer.flow_balancing.const import UNSURE_RETENTION
 from pomelotrail_core.datagram_callback import Address
 from pomelotrail_core.directory import Directory, Listing, RemovedItem, ServerItem
 from pomelotrail_core.endpoint import pack_address
@@ -127,6 +128,30 @@
         # Two stages with one query and one reply per companion each.
         self.assertLessEqual(many_flows, 4 * 20)
 
+    def test_unsure_companions_are_not_asked(self) -> None:
+        """Their servers get the packet at once, through one of the companions."""
+
+        async def async_run() -> None:
+            """Restart companions and balancer, and look up the flows of ten callers."""
+            fleet = FlowFleet(servers=20, slots=20)
+            first, *others = [fleet.caller() for _ in range(11)]
+            for caller in (first, *others):
+                await caller.async_open_and_request(b"one")
+            fleet.restart_companions()
+            fleet.start_balancer("192.0.2.200")
+            fleet.use_balancer(1)
+            await first.async_send_request(b"two", 5)
+            # Once all companions have been asked, the balancer knows that none is sure.
+            for companion in fleet.companions().possible_owners():
+                companion.unsure_until = fleet.clock.monotonic() + UNSURE_RETENTION
+            queries_before = fleet.counters.value("lookup_queries")
+            for caller in others:
+                answer = await caller.async_send_request(b"two", 1)
+                self.assertEqual(answer, b"answer to two")
+            self.assertEqual(fleet.counters.value("lookup_queries"), queries_before)
+
+        run_in_virtual_time(async_run())
+
     def test_companion_that_starts_late(self) -> None:
         """The balancer repeats its query without another packet of the caller."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
@@ -51,6 +51,9 @@
 FLOWS_PER_MESSAGE_UNIT: Final = 8
 # Companions reply in milliseconds; slow ones and slow links within a second.
 QUERY_LIFETIME: Final = timedelta(seconds=2)
+# A companion that has just started doesn't know all flows for up to 60 s; it is
+# asked again after this time.
+UNSURE_RETENTION: Final = timedelta(seconds=5)
 # Callers retransmit after 200 ms or more; a shorter interval would query a
 # companion again before it had time to start. Slow links lengthen it.
 LOOKUP_RETRY_INTERVAL: Final = timedelta(milliseconds=150)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -25,6 +25,7 @@
     MAX_LOOKUPS,
     MAX_SEQUENCE_DISTANCE,
     MILLISECOND,
+    UNSURE_RETENTION,
 )
 from .lookup_queries import LookupQueries
 from .message_budget import MessageBudget
@@ -158,7 +159,11 @@
         query = self._queries.pop_query(reply, sender)
         if query is None:
             return
-        self._reply_time.record(self._clock.monotonic() - query.sent_at)
+        now = self._clock.monotonic()
+        self._reply_time.record(now - query.sent_at)
+        query.companion.unsure_until = (
+            now + UNSURE_RETENTION if reply.unsure else timedelta()
+        )
         for index, flow in enumerate(query.flows):
             lookup = self._pending.get(flow)
             if lookup is None or query.sent_at < lookup.started:
@@ -207,7 +212,7 @@
         for service in services:
             own = [each for each in possible_owners if each.server.service == service]
             for companion in self._companions.preferred(flow, own):
-                self._queries.add(flow, companion)
+                self._query(lookup, companion, now)
                 lookup.awaited.add(companion.server.identity)
         self._counters.add("lookups")
         self._log.write(
@@ -281,7 +286,21 @@
             lookup.has_queried_all = True
             remaining += self._companions.confirmed_removals()
         for companion in remaining:
+            self._query(lookup, companion, now)
+
+    def _query(
+        self, lookup: FlowLookup, companion: CompanionView, now: timedelta
+    ) -> None:
+        """Ask a companion whether its server owns a flow, or probe the server.
+
+        Handles this load pattern: all companions have lost their flows. Asking each of
+        them costs a slow link more than the packet that the servers need anyway.
+        """
+        if companion.unsure_until <= now:
+            self._counters.add("lookup_queries")
             self._queries.add(lookup.flow, companion)
+        else:
+            self._probe_server(lookup, companion, companion.server.identity)
 
     def _record_denial(self, lookup: FlowLookup, identity: str) -> None:
         """Record a denial; continue the lookup after the last awaited reply."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -22,7 +22,8 @@
     """A companion with the load that it last reported.
 
     ``offered_flows`` counts the flows offered since that report. ``work`` is the
-    processing time of a request that the companion observed.
+    processing time of a request that the companion observed. Until ``unsure_until``,
+    the companion probably doesn't know all flows of its server.
     """
 
     server: BackendServer
@@ -37,6 +38,7 @@
     reported_at: timedelta | None = None
     work: timedelta = INITIAL_WORK_ESTIMATE
     is_suspect: bool = False
+    unsure_until: timedelta = timedelta()
 
     def record_report(
         self, occupancy: int, flows: int, now: timedelta, work_ms: float = 0.0
