Offers: overdue by observed reply times, late replies still count

Each late reply marks a companion as suspect and is thrown away.

An offer is overdue after the observed reply time (mean and four deviations), 40 to 200 ms; if no companion at all replies, the timeout doubles after the third, since the delay is probably here. A late acceptance is recorded. A few dead companions change nothing. LateReplyTest plays a link that is busy for half a second; without the change its callers get no answer.

--- a/harness/tests/test_slow_links.py
+++ b/harness/tests/test_slow_links.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import Final
 
-from harness.flow_fleet import FlowFleet
+from harness.flow_fleet import PACKETS_PORT, FlowFleet
 from harness.virtual_time import run_in_virtual_time
 from stand_ins.flows import StandInCaller
 
@@ -53,6 +53,33 @@
         self.assertEqual(late, [])
 
 
+class LateReplyTest(unittest.TestCase):
+    """Replies to offers that wait at a slow link."""
+
+    def test_few_offers_while_replies_are_late(self) -> None:
+        """The delay of the own link isn't taken for a failure of the companions."""
+
+        async def async_run() -> FlowFleet:
+            """Open twenty flows while packets wait at the link for half a second."""
+            fleet = FlowFleet(servers=SERVERS, slots=4)
+            fleet.start_balancer(SMALL_BALANCER)
+            fleet.network.limit_link(SMALL_BALANCER, SLOW_LINK_BYTES_PER_S)
+            send = fleet.network.sender((SMALL_BALANCER, PACKETS_PORT))
+            for _ in range(SLOW_LINK_BYTES_PER_S // 2_000):
+                send(b"x" * 1_000, ("192.0.2.250", PACKETS_PORT))
+            callers = [fleet.caller() for _ in range(20)]
+            answers = await asyncio.gather(
+                *(each.async_open_and_request(b"one") for each in callers)
+            )
+            self.assertEqual(answers, [b"answer to one"] * 20)
+            return fleet
+
+        fleet = run_in_virtual_time(async_run())
+        offered = fleet.lines.content.count(b'"event":"offered"')
+        # Three retransmissions of each opening packet, for two offers each.
+        self.assertLessEqual(offered, 20 * 3 * 2)
+
+
 async def async_send_requests(
     caller: StandInCaller, rng: random.Random, response_times: list[float]
 ) -> None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
@@ -29,6 +29,7 @@
 from .lookups import FlowLookup, Lookups
 from .message_budget import MessageBudget
 from .opening_queue import OpeningQueue
+from .reply_time import ReplyTime
 from .server_probes import ServerProbes
 
 _PART = "carrying"
@@ -73,6 +74,7 @@
         self._flows = FlowTable()
         self._early_packets = EarlyPackets()
         self._opening_queue = OpeningQueue(clock, log, counters, self._place)
+        reply_time = ReplyTime()
         budget = MessageBudget(lookups_per_s, clock.monotonic())
         self._lookups = Lookups(
             directory,
@@ -83,6 +85,7 @@
             counters,
             budget,
             ServerProbes(codec, send_packet, send_message, budget.spend),
+            reply_time,
             send_message,
             self._send_held_packets,
             self._reset_unowned,
@@ -93,6 +96,7 @@
             companions,
             policy,
             self._load_reports,
+            reply_time,
             clock,
             log,
             counters,
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
@@ -4,8 +4,13 @@
 from typing import Final
 
 MILLISECOND: Final = timedelta(milliseconds=1)
-# Companions reply to an offer within a few milliseconds, also across zones.
+# Companions reply to an offer within a few milliseconds, also across zones. Observed
+# reply times lengthen the timeout.
 OFFER_TIMEOUT: Final = timedelta(milliseconds=40)
+# Callers retransmit an opening packet after 200 ms.
+MAX_OFFER_TIMEOUT: Final = timedelta(milliseconds=200)
+# Late replies to so many offers are still used; an offer takes about 200 bytes.
+MAX_OVERDUE_OFFERS: Final = 1_000
 # Unless the process is overloaded, timers fire within 2 ms of their deadline.
 LATE_TIMER_THRESHOLD: Final = timedelta(milliseconds=10)
 # A process that is overloaded for longer than this can't serve the flow.
@@ -42,6 +47,9 @@
 # covers about the last ten replies.
 REPLY_TIME_WEIGHT: Final = 0.1
 REPLY_TIME_DEVIATIONS: Final = 4
+# Companions of a lost zone among those that a flow is offered to first.
+MAX_FAILED_COMPANIONS: Final = 3
+MAX_TIMEOUT_DOUBLINGS: Final = 4
 # Packets that arrive together are read within this time, and their flows are
 # looked up with the same messages.
 BATCH_INTERVAL: Final = timedelta(milliseconds=2)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import zlib
+from collections import OrderedDict
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -27,7 +28,9 @@
 from .const import (
     LATE_TIMER_THRESHOLD,
     MAX_LATE_TIMEOUTS,
+    MAX_OFFER_TIMEOUT,
     MAX_OFFERS,
+    MAX_OVERDUE_OFFERS,
     MILLISECOND,
     MIN_RETRANSMISSION_INTERVAL,
     OFFER_TIMEOUT,
@@ -35,6 +38,7 @@
 )
 from .flow_table import FlowRecord
 from .load_reports import LoadReports
+from .reply_time import ReplyTime
 
 _PART = "placement"
 _NO_REPLY = "silent"
@@ -44,15 +48,22 @@
     """An offer and its replies; the first states whether it was accepted."""
 
     companion: CompanionView
+    record: FlowRecord
+    sent_at: timedelta
+    has_reply: bool = False
     replies: asyncio.Queue[OfferReply] = msgspec.field(default_factory=asyncio.Queue)
 
 
 class FlowPlacer:
     """Offers new flows to companions, with one task per flow.
 
-    A companion replies whether it accepts the flow. If it doesn't reply, it is
-    suspected and the flow is offered to the next one, long before the caller
-    retransmits the opening packet.
+    A companion replies whether it accepts the flow. If its reply is overdue, it is
+    suspected and the flow is offered to the next one, before the caller retransmits
+    the opening packet. When a reply is overdue follows from observed reply times.
+
+    Handles this load pattern: all replies are late, because packets wait at the slow
+    link of this balancer. With a fixed timeout, each flow would be offered to many
+    companions, of which several accept it, and the offers would keep the link full.
     """
 
     def __init__(
@@ -61,6 +72,7 @@
         companions: Companions,
         policy: PlacementPolicy,
         load_reports: LoadReports,
+        reply_time: ReplyTime,
         clock: Clock,
         log: EventLog,
         counters: Counters,
@@ -72,6 +84,7 @@
         self._companions = companions
         self._policy = policy
         self._load_reports = load_reports
+        self._reply_time = reply_time
         self._clock = clock
         self._log = log
         self._counters = counters
@@ -79,6 +92,7 @@
         self._reset = reset
         self._numbers = itertools.count(1)
         self._pending: dict[int, _PendingOffer] = {}
+        self._overdue: OrderedDict[int, _PendingOffer] = OrderedDict()
 
     def place(self, packet: Packet, record: FlowRecord) -> None:
         """Place a flow or handle a retransmission of its opening packet."""
@@ -99,10 +113,19 @@
     def receive(self, message: OfferReply, sender: Address) -> None:
         """Handle the reply to an offer."""
         pending = self._pending.get(message.number)
-        if pending is None or pending.companion.fleet_address != sender:
+        overdue = self._overdue.pop(message.number, None) if pending is None else None
+        offer = pending or overdue
+        if offer is None or offer.companion.fleet_address != sender:
             return
-        self._load_reports.record(pending.companion, message)
-        pending.replies.put_nowait(message)
+        self._load_reports.record(offer.companion, message)
+        if not offer.has_reply:
+            offer.has_reply = True
+            self._reply_time.record(self._clock.monotonic() - offer.sent_at)
+        offer.replies.put_nowait(message)
+        if overdue is not None:
+            self._counters.add("offer_replies_late")
+            if message.outcome is Outcome.ACCEPTED and overdue.record.owner is None:
+                self._record_acceptance(overdue.record, overdue.companion)
 
     def _is_queued_retransmission(self, record: FlowRecord) -> bool:
         """Return whether a retransmission arrives too soon after acceptance.
@@ -197,12 +220,16 @@
         """
         companion = choice.companion
         number = next(self._numbers)
-        pending = self._pending[number] = _PendingOffer(companion)
+        pending = _PendingOffer(companion, record, self._clock.monotonic())
+        self._pending[number] = pending
         self._send_offer(number, choice, route, packet)
+        timeout = min(self._reply_time.timeout(OFFER_TIMEOUT), MAX_OFFER_TIMEOUT)
         try:
-            outcome = await self._async_wait_for_reply(pending, OFFER_TIMEOUT)
+            outcome = await self._async_wait_for_reply(pending, timeout)
             if outcome is None:
+                self._reply_time.record_overdue()
                 self._mark_suspect(companion)
+                self._add_overdue(number, pending)
             if outcome is not Outcome.ACCEPTED:
                 return outcome
             self._record_acceptance(record, companion)
@@ -291,6 +318,12 @@
         record.owner = companion if len(record.accepted_by) == 1 else None
         record.accepted_at = self._clock.monotonic()
 
+    def _add_overdue(self, number: int, offer: _PendingOffer) -> None:
+        """Keep an offer whose reply may still arrive; drop the oldest ones."""
+        self._overdue[number] = offer
+        while len(self._overdue) > MAX_OVERDUE_OFFERS:
+            self._overdue.popitem(last=False)
+
     def _mark_suspect(self, companion: CompanionView) -> None:
         """Avoid an unresponsive companion until it replies."""
         if not companion.is_suspect:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -107,6 +107,7 @@
         counters: Counters,
         budget: MessageBudget,
         probes: ServerProbes,
+        reply_time: ReplyTime,
         send_message: SendDatagram,
         on_owner_found: Callable[[FlowLookup, CompanionView], None],
         on_unowned: Callable[[Packet], None],
@@ -126,7 +127,7 @@
         self._on_owner_found = on_owner_found
         self._on_unowned = on_unowned
         self._queries = LookupQueries(directory, clock, send_message)
-        self._reply_time = ReplyTime()
+        self._reply_time = reply_time
         self._pending: dict[bytes, FlowLookup] = {}
         self._round_timer: asyncio.TimerHandle | None = None
         self._round_at = timedelta()
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/reply_time.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/reply_time.py
@@ -2,7 +2,12 @@
 
 from datetime import timedelta
 
-from .const import REPLY_TIME_DEVIATIONS, REPLY_TIME_WEIGHT
+from .const import (
+    MAX_FAILED_COMPANIONS,
+    MAX_TIMEOUT_DOUBLINGS,
+    REPLY_TIME_DEVIATIONS,
+    REPLY_TIME_WEIGHT,
+)
 
 
 class ReplyTime:
@@ -10,7 +15,9 @@
 
     Handles this load pattern: packets wait at the slow link of this balancer, so all
     replies are late. A fixed timeout would repeat messages whose replies are on their
-    way, which keeps the link full::
+    way, which keeps the link full. A few companions that don't reply have failed; if
+    no companion at all replies, the delay is probably here, so the timeout doubles with
+    each overdue reply until the next one arrives::
 
         reply_time.record(now - sent_at)
         due = now + reply_time.timeout(minimum)
@@ -20,9 +27,11 @@
         """Initialize without observations."""
         self._mean: timedelta | None = None
         self._deviation = timedelta()
+        self._consecutive_overdue = 0
 
     def record(self, duration: timedelta) -> None:
         """Include the time that a companion took to reply."""
+        self._consecutive_overdue = 0
         if self._mean is None:
             self._mean = duration
         difference = duration - self._mean
@@ -31,6 +40,12 @@
 
     def timeout(self, minimum: timedelta) -> timedelta:
         """Return the time after which a reply is overdue."""
-        if self._mean is None:
-            return minimum
-        return max(minimum, self._mean + self._deviation * REPLY_TIME_DEVIATIONS)
+        usual = timedelta()
+        if self._mean is not None:
+            usual = self._mean + self._deviation * REPLY_TIME_DEVIATIONS
+        excess = max(0, self._consecutive_overdue - MAX_FAILED_COMPANIONS)
+        return max(minimum, usual) * 2 ** min(excess, MAX_TIMEOUT_DOUBLINGS)
+
+    def record_overdue(self) -> None:
+        """Record that a reply is overdue."""
+        self._consecutive_overdue += 1
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/tests/test_reply_time.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/tests/test_reply_time.py
@@ -40,3 +40,20 @@
         for _ in range(90):
             self.reply_time.record(timedelta(milliseconds=3))
         self.assertEqual(self.reply_time.timeout(_MINIMUM), _MINIMUM)
+
+    def test_failed_companions(self) -> None:
+        """A few companions that don't reply change nothing."""
+        self.reply_time.record(timedelta(milliseconds=3))
+        for _ in range(3):
+            self.reply_time.record_overdue()
+        self.assertEqual(self.reply_time.timeout(_MINIMUM), _MINIMUM)
+
+    def test_no_replies_at_all(self) -> None:
+        """The timeout doubles until a reply arrives, up to a maximum."""
+        timeouts = []
+        for _ in range(9):
+            self.reply_time.record_overdue()
+            timeouts.append(self.reply_time.timeout(_MINIMUM) // _MINIMUM)
+        self.assertEqual(timeouts, [1, 1, 1, 2, 4, 8, 16, 16, 16])
+        self.reply_time.record(timedelta(milliseconds=3))
+        self.assertEqual(self.reply_time.timeout(_MINIMUM), _MINIMUM)
