--- a/measurements/ablation/__init__.py
+++ b/measurements/ablation/__init__.py
@@ -0,0 +1,1 @@
+"""Days with one mechanism switched off."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/__init__.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/__init__.py
@@ -1,7 +1,8 @@
 """Queue of requests that wait for a slot of the backend server."""
 
 from .discipline import OnTimeFirst, QueueDiscipline
-from .request_queue import RequestQueue, WaitingRequest
+from .request_queue import RequestQueue
+from .waiting_request import WaitingRequest
 from .work_estimate import WorkEstimate
 
 __all__ = [
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/discipline.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/discipline.py
@@ -3,12 +3,9 @@
 import abc
 from collections.abc import Iterable
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 from .const import ROUND_TRIP_TIME
-
-if TYPE_CHECKING:
-    from .request_queue import WaitingRequest
+from .waiting_request import WaitingRequest
 
 
 class QueueDiscipline(abc.ABC):
@@ -16,8 +13,8 @@
 
     @abc.abstractmethod
     def choose(
-        self, waiting: Iterable["WaitingRequest"], now: timedelta, work: timedelta
-    ) -> "WaitingRequest":
+        self, waiting: Iterable[WaitingRequest], now: timedelta, work: timedelta
+    ) -> WaitingRequest:
         """Return the request to run next; ``waiting`` is not empty."""
 
 
@@ -35,11 +32,11 @@
     """
 
     def choose(
-        self, waiting: Iterable["WaitingRequest"], now: timedelta, work: timedelta
-    ) -> "WaitingRequest":
+        self, waiting: Iterable[WaitingRequest], now: timedelta, work: timedelta
+    ) -> WaitingRequest:
         """Return the request with the lowest sort key."""
 
-        def rank(request: "WaitingRequest") -> tuple[bool, bool, int, timedelta]:
+        def rank(request: WaitingRequest) -> tuple[bool, bool, int, timedelta]:
             """Return the sort key of a request."""
             slack = request.target - (now - request.queued) - work - ROUND_TRIP_TIME
             is_late = slack < timedelta()
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/request_queue.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/request_queue.py
@@ -2,35 +2,11 @@
 
 from datetime import timedelta
 
-import msgspec
-
-from pomelotrail_core.flows import Packet
-
 from .discipline import QueueDiscipline
+from .waiting_request import WaitingRequest
 from .work_estimate import WorkEstimate
 
 
-class WaitingRequest(msgspec.Struct, eq=False):
-    """Packets of a request that was not yet sent to the backend server."""
-
-    flow: bytes
-    queued: timedelta
-    priority: int
-    target: timedelta
-    packets: list[Packet] = msgspec.field(default_factory=list)
-
-    @property
-    def is_abandoned(self) -> bool:
-        """Return whether the caller closed its side before any response."""
-        return any(packet.finishes for packet in self.packets)
-
-    def add(self, packet: Packet) -> None:
-        """Add a packet, unless it is a retransmission of a waiting one."""
-        known = {(other.sequence, other.size, other.finishes) for other in self.packets}
-        if (packet.sequence, packet.size, packet.finishes) not in known:
-            self.packets.append(packet)
-
-
 class RequestQueue:
     """Queue of requests that wait for a free slot::
 
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/waiting_request.py
@@ -0,0 +1,28 @@
+"""A request that waits for a slot of the backend server."""
+
+from datetime import timedelta
+
+import msgspec
+
+from pomelotrail_core.flows import Packet
+
+
+class WaitingRequest(msgspec.Struct, eq=False):
+    """Packets of a request that was not yet sent to the backend server."""
+
+    flow: bytes
+    queued: timedelta
+    priority: int
+    target: timedelta
+    packets: list[Packet] = msgspec.field(default_factory=list)
+
+    @property
+    def is_abandoned(self) -> bool:
+        """Return whether the caller closed its side before any response."""
+        return any(packet.finishes for packet in self.packets)
+
+    def add(self, packet: Packet) -> None:
+        """Add a packet, unless it is a retransmission of a waiting one."""
+        known = {(other.sequence, other.size, other.finishes) for other in self.packets}
+        if (packet.sequence, packet.size, packet.finishes) not in known:
+            self.packets.append(packet)
