--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
@@ -28,6 +28,7 @@
 from .load_reports import LoadReports
 from .lookups import FlowLookup, Lookups
 from .message_budget import MessageBudget
+from .offer_exchange import OfferExchange
 from .opening_queue import OpeningQueue
 from .reply_time import ReplyTime
 from .server_probes import ServerProbes
@@ -91,16 +92,23 @@
             self._reset_unowned,
         )
         self._load_reports = LoadReports(clock, log, counters)
-        self._placer = FlowPlacer(
+        self._offers = OfferExchange(
             directory,
-            companions,
-            policy,
             self._load_reports,
             reply_time,
             clock,
             log,
             counters,
             send_message,
+        )
+        self._placer = FlowPlacer(
+            directory,
+            companions,
+            policy,
+            self._offers,
+            clock,
+            log,
+            counters,
             self._reset,
         )
 
@@ -136,7 +144,7 @@
         """Handle a message of a companion."""
         match decode(data):
             case OfferReply() as reply:
-                self._placer.receive(reply, sender)
+                self._offers.receive(reply, sender)
             case Owner(flow):
                 self._handle_owner(flow, sender)
             case LookupReply() as reply:
