Lookups: probe directly when relayed probes get no reply

The same happens when two zones are cut off from each other while a third reaches both.

A balancer states the address for replies itself, and what all companions were asked once is sent directly when it is repeated. test_companions_that_cannot_reach_each_other fails without the change; the soak passes again.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -165,6 +165,7 @@
             self.clock,
             self.log,
             self.counters,
+            (host, FLEET_PORT),
             PACKETS_PORT,
             1_000.0,
             self.network.sender((host, PACKETS_PORT)),
--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -1,6 +1,7 @@
 """Lookups of flow owners while the directory or the companions change."""
 
 import asyncio
+import itertools
 import unittest
 
 import msgspec
@@ -152,6 +153,24 @@
 
         run_in_virtual_time(async_run())
 
+    def test_companions_that_cannot_reach_each_other(self) -> None:
+        """The balancer probes their servers itself when relayed probes fail."""
+
+        async def async_run() -> None:
+            """Cut all links between companions, and restart all processes."""
+            fleet = FlowFleet(servers=20)
+            callers = [fleet.caller() for _ in range(12)]
+            for caller in callers:
+                await caller.async_open_and_request(b"one")
+            fleet.network.blocked_pairs = set(itertools.permutations(fleet.servers, 2))
+            fleet.restart_companions()
+            fleet.start_balancer("192.0.2.200")
+            for caller in callers:
+                answer = await caller.async_send_request(b"two", 2)
+                self.assertEqual(answer, b"answer to two")
+
+        run_in_virtual_time(async_run())
+
     def test_companion_that_starts_late(self) -> None:
         """The balancer repeats its query without another packet of the caller."""
 
--- a/harness/tests/test_hostile_datagrams.py
+++ b/harness/tests/test_hostile_datagrams.py
@@ -74,7 +74,7 @@
         LookupReply, _NUMBERS, _FLOW_INDEXES, _FLOW_INDEXES, st.integers(0, 10_000)
     ),
     st.builds(LookupMiss, _BYTES, _BYTES, st.integers(0, 10_000)),
-    st.builds(ProbeRequest, _BYTES, st.lists(_BYTES, max_size=70).map(tuple)),
+    st.builds(ProbeRequest, _BYTES, _BYTES, st.lists(_BYTES, max_size=70).map(tuple)),
     st.builds(Probe, _BYTES, _BYTES),
     st.builds(Ping, _NUMBERS),
     st.builds(Pong, _NUMBERS, _NUMBERS, _NUMBERS, st.floats(allow_nan=True)),
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -41,8 +41,9 @@
     ``first_packet`` started the lookup, ``held_packets`` arrived after it. Servers
     are listed by identity: those in ``denied`` don't own the flow, those in
     ``awaited`` were queried and have not replied. ``probed`` maps the address of a
-    companion to the server that a packet was sent to. ``is_complete`` is set once the
-    directory had all entries that the store had when the lookup started.
+    companion to the server that a packet was sent to. ``is_repeated`` is set once all
+    companions were queried before. ``is_complete`` is set once the directory had all
+    entries that the store had when the lookup started.
     """
 
     flow: bytes
@@ -55,6 +56,7 @@
     awaited: set[str] = msgspec.field(default_factory=set)
     probed: dict[Address, str] = msgspec.field(default_factory=dict)
     has_queried_all: bool = False
+    is_repeated: bool = False
     is_checking: bool = False
     is_complete: bool = False
 
@@ -283,6 +285,7 @@
             return
         lookup.due = now + self._two_replies(LOOKUP_RETRY_INTERVAL)
         lookup.awaited = {each.server.identity for each in remaining}
+        lookup.is_repeated = lookup.has_queried_all
         if not lookup.has_queried_all:
             lookup.has_queried_all = True
             remaining += self._companions.confirmed_removals()
@@ -324,7 +327,10 @@
         shares = route.shares if route is not None else ()
         if companion.server.service in {share.service for share in shares}:
             lookup.probed[companion.fleet_address] = identity
-            self._probes.add(lookup.first_packet, companion)
+            if lookup.is_repeated:
+                self._probes.send_directly(lookup.first_packet, companion)
+            else:
+                self._probes.add(lookup.first_packet, companion)
 
     def _two_replies(self, minimum: timedelta) -> timedelta:
         """Return the time in which a query and a probe are answered."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/server_probes.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/server_probes.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from pomelotrail_balancer.placement import CompanionView
-from pomelotrail_core.datagram_callback import SendDatagram
+from pomelotrail_core.datagram_callback import Address, SendDatagram
 from pomelotrail_core.endpoint import pack_address
 from pomelotrail_core.flows import Mark, Packet, PacketCodec
 from pomelotrail_core.offers import ProbeRequest, encode
@@ -37,22 +37,33 @@
     sends the packet once, to one of the companions, and that one sends it on::
 
         probes.add(packet, companion)
+
+    Companions may not reach each other although the balancer reaches them all, so a
+    packet that has been relayed without a reply is sent directly.
     """
 
     def __init__(
         self,
+        address: Address,
         codec: PacketCodec,
         send_packet: SendDatagram,
         send_message: SendDatagram,
         spend: Callable[[float], None],
     ) -> None:
-        """Report the cost of probes, in lookup queries, to ``spend``."""
+        """Receive replies at ``address`` and report costs, in queries, to ``spend``."""
+        self._packed_address = pack_address(address)
         self._codec = codec
         self._send_packet = send_packet
         self._send_message = send_message
         self._spend = spend
         self._pending: dict[bytes, _PendingProbes] = {}
 
+    def send_directly(self, packet: Packet, companion: CompanionView) -> None:
+        """Send a packet to the server of a companion."""
+        data = self._codec.with_label(packet, companion.label, Mark.LOOKUP)
+        self._send_packet(data, companion.packets_address)
+        self._record_cost(len(data), 1)
+
     def add(self, packet: Packet, companion: CompanionView) -> None:
         """Probe the server of a companion together with those that follow soon."""
         if not self._pending:
@@ -66,25 +77,25 @@
         """Send the pending probes."""
         pending, self._pending = self._pending, {}
         for probes in pending.values():
-            for label, companions in probes.companions.items():
-                data = self._codec.with_label(probes.packet, label, Mark.LOOKUP)
+            for companions in probes.companions.values():
                 for start in range(0, len(companions), MAX_PROBES_PER_REQUEST):
                     batch = companions[start : start + MAX_PROBES_PER_REQUEST]
-                    self._send_probes(probes.packet.caller_flow, data, batch)
+                    self._send_batch(probes.packet, batch)
 
-    def _send_probes(
-        self, flow: bytes, data: bytes, companions: list[CompanionView]
-    ) -> None:
+    def _send_batch(self, packet: Packet, companions: list[CompanionView]) -> None:
         """Send a packet to companions of one service."""
         if len(companions) == 1:
-            self._send_packet(data, companions[0].packets_address)
-            size = len(data)
-        else:
-            # All of them have just replied; the hash spreads the work.
-            relay = companions[zlib.crc32(flow) % len(companions)]
-            addresses = tuple(pack_address(each.fleet_address) for each in companions)
-            message = encode(ProbeRequest(data, addresses))
-            self._send_message(message, relay.fleet_address)
-            size = len(message)
-        sent_cost = (size + DATAGRAM_OVERHEAD_BYTES) / QUERY_BYTES
-        self._spend(sent_cost + len(companions) * PROBE_REPLY_COST)
+            self.send_directly(packet, companions[0])
+            return
+        # All of them have replied within seconds; the hash spreads the work.
+        relay = companions[zlib.crc32(packet.caller_flow) % len(companions)]
+        data = self._codec.with_label(packet, relay.label, Mark.LOOKUP)
+        addresses = tuple(pack_address(each.fleet_address) for each in companions)
+        message = encode(ProbeRequest(data, self._packed_address, addresses))
+        self._send_message(message, relay.fleet_address)
+        self._record_cost(len(message), len(companions))
+
+    def _record_cost(self, datagram_bytes: int, replies: int) -> None:
+        """Report the cost of a datagram and the replies to it."""
+        sent = (datagram_bytes + DATAGRAM_OVERHEAD_BYTES) / QUERY_BYTES
+        self._spend(sent + replies * PROBE_REPLY_COST)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -7,11 +7,7 @@
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
-from pomelotrail_core.endpoint import (
-    PACKED_ENDPOINT_BYTES,
-    pack_address,
-    unpack_address,
-)
+from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES, unpack_address
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import SEQUENCE_RANGE, Mark, Packet, PacketCodec, flow_text
 from pomelotrail_core.offers import (
@@ -117,7 +113,7 @@
                 pong = Pong(number, load, len(self._flows), self._gate.work_ms)
                 self._send_message(encode(pong), sender)
             case ProbeRequest() as request:
-                self._relay_probe(request, sender)
+                self._relay_probe(request)
             case Probe(packet, balancer) if len(balancer) == PACKED_ENDPOINT_BYTES:
                 self._handle_packet(packet, unpack_address(balancer))
             case _:
@@ -178,7 +174,7 @@
         else:
             self._ownership.deny(packet, packet.mark, balancer)
 
-    def _relay_probe(self, request: ProbeRequest, balancer: Address) -> None:
+    def _relay_probe(self, request: ProbeRequest) -> None:
         """Send the packet of a balancer on a slow link to several companions."""
         addresses = request.addresses
         if len(addresses) > MAX_RELAYED_PROBES or any(
@@ -186,7 +182,7 @@
         ):
             self._counters.add("messages_malformed")
             return
-        message = encode(Probe(request.packet, pack_address(balancer)))
+        message = encode(Probe(request.packet, request.balancer))
         for address in addresses:
             self._send_message(message, unpack_address(address))
         self._counters.add("probes_relayed", len(addresses))
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -115,12 +115,13 @@
 class ProbeRequest(_Message, tag=9):
     """Request of a balancer to probe several backend servers with the same packet.
 
-    The receiver sends the packet to the companions at ``addresses``, which are the
-    packed addresses of their fleet ports. On the link of the balancer, one message
-    takes the place of one for each server.
+    The receiver sends the packet to the companions at ``addresses``, and they reply to
+    ``balancer``; all are packed addresses of fleet ports. On the link of the balancer,
+    one message takes the place of one for each server.
     """
 
     packet: bytes
+    balancer: bytes
     addresses: tuple[bytes, ...]
 
 
--- a/stand_ins/flows/network.py
+++ b/stand_ins/flows/network.py
@@ -55,6 +55,7 @@
         self._receivers: dict[Address, DatagramHandler] = {}
         self._links: dict[str, tuple[SlowLink, SlowLink]] = {}
         self.down_hosts: set[str] = set()
+        self.blocked_pairs: set[tuple[str, str]] = set()
         self.sent = 0
 
     def limit_link(self, host: str, bytes_per_s: float) -> None:
@@ -81,7 +82,10 @@
         def send(data: bytes, target: Address) -> None:
             """Deliver after one hop unless the source is down."""
             self.sent += 1
-            if source[0] not in self.down_hosts:
+            if (
+                source[0] not in self.down_hosts
+                and (source[0], target[0]) not in self.blocked_pairs
+            ):
                 loop = asyncio.get_running_loop()
                 delay = HOP_DELAY_S
                 if source[0] in self._links:
