Lookups: don't back off for offers that got no reply

After a power loss no companion replies to offers until it has started; the doubled timeout held for lookups too, which then repeated after up to 2 s, so dead flows were reset late.

The doubling now holds for offers alone. A unit test tells them apart.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
@@ -111,7 +111,8 @@
         pending = _PendingOffer(companion, record, self._clock.monotonic())
         self._pending[number] = pending
         self._send_offer(number, choice, route, packet)
-        timeout = min(self._reply_time.timeout(OFFER_TIMEOUT), MAX_OFFER_TIMEOUT)
+        backed_off = self._reply_time.backed_off_timeout(OFFER_TIMEOUT)
+        timeout = min(backed_off, MAX_OFFER_TIMEOUT)
         try:
             outcome = await self._async_wait_for_reply(pending, timeout)
             if outcome is None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/reply_time.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/reply_time.py
@@ -15,9 +15,7 @@
 
     Handles this load pattern: packets wait at the slow link of this balancer, so all
     replies are late. A fixed timeout would repeat messages whose replies are on their
-    way, which keeps the link full. A few companions that don't reply have failed; if
-    no companion at all replies, the delay is probably here, so the timeout doubles with
-    each overdue reply until the next one arrives::
+    way, which keeps the link full::
 
         reply_time.record(now - sent_at)
         due = now + reply_time.timeout(minimum)
@@ -43,8 +41,16 @@
         usual = timedelta()
         if self._mean is not None:
             usual = self._mean + self._deviation * REPLY_TIME_DEVIATIONS
+        return max(minimum, usual)
+
+    def backed_off_timeout(self, minimum: timedelta) -> timedelta:
+        """Return the timeout, doubled for each overdue reply since the last reply.
+
+        A few companions that don't reply have failed; if no companion at all replies,
+        the delay is probably here.
+        """
         excess = max(0, self._consecutive_overdue - MAX_FAILED_COMPANIONS)
-        return max(minimum, usual) * 2 ** min(excess, MAX_TIMEOUT_DOUBLINGS)
+        return self.timeout(minimum) * 2 ** min(excess, MAX_TIMEOUT_DOUBLINGS)
 
     def record_overdue(self) -> None:
         """Record that a reply is overdue."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/tests/test_reply_time.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/tests/test_reply_time.py
@@ -46,14 +46,20 @@
         self.reply_time.record(timedelta(milliseconds=3))
         for _ in range(3):
             self.reply_time.record_overdue()
-        self.assertEqual(self.reply_time.timeout(_MINIMUM), _MINIMUM)
+        self.assertEqual(self.reply_time.backed_off_timeout(_MINIMUM), _MINIMUM)
 
     def test_no_replies_at_all(self) -> None:
         """The timeout doubles until a reply arrives, up to a maximum."""
         timeouts = []
         for _ in range(9):
             self.reply_time.record_overdue()
-            timeouts.append(self.reply_time.timeout(_MINIMUM) // _MINIMUM)
+            timeouts.append(self.reply_time.backed_off_timeout(_MINIMUM) // _MINIMUM)
         self.assertEqual(timeouts, [1, 1, 1, 2, 4, 8, 16, 16, 16])
         self.reply_time.record(timedelta(milliseconds=3))
+        self.assertEqual(self.reply_time.backed_off_timeout(_MINIMUM), _MINIMUM)
+
+    def test_lookups_do_not_wait_for_offers(self) -> None:
+        """After a power loss, companions are silent until they have started."""
+        for _ in range(9):
+            self.reply_time.record_overdue()
         self.assertEqual(self.reply_time.timeout(_MINIMUM), _MINIMUM)
