Lookups: ask unsure companions whose servers get no packet

The companions of a route's other services get no probe either, so they never denied a dead flow, although one further lookup, with the start time of the new server, would have made them sure.

They are asked as before, and a companion is asked again at once when its server's start time changes. The new test fails without the change.

--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -153,6 +153,21 @@
 
         run_in_virtual_time(async_run())
 
+    def test_unsure_companion_of_another_service_is_asked(self) -> None:
+        """Its server gets no packet, so only its own reply can end the lookup."""
+
+        async def async_run() -> None:
+            """Look up a lost flow after all companions were unsure."""
+            fleet, (caller,) = await self.async_simulate_power_loss(1, servers=3)
+            other = next(iter(fleet.servers))
+            fleet.move_to_service(other, "certificate-desk")
+            fleet.directory().replace(fleet.listing(2))
+            for companion in fleet.companions().possible_owners():
+                companion.unsure_until = fleet.clock.monotonic() + UNSURE_RETENTION
+            self.assertIsNone(await caller.async_send_request(b"two", 2))
+
+        run_in_virtual_time(async_run())
+
     def test_companions_that_cannot_reach_each_other(self) -> None:
         """The balancer probes their servers itself when relayed probes fail."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -299,8 +299,12 @@
 
         Handles this load pattern: all companions have lost their flows. Asking each of
         them costs a slow link more than the packet that the servers need anyway.
+        Servers of services outside the route get no packet; their companions are asked.
         """
-        if companion.unsure_until <= now:
+        route = self._directory.route(lookup.first_packet.receiver)
+        services = {share.service for share in route.shares} if route else set()
+        is_probed = companion.server.service in services
+        if companion.unsure_until <= now or not is_probed:
             self._counters.add("lookup_queries")
             self._queries.add(lookup.flow, companion)
         else:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companions.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companions.py
@@ -1,5 +1,7 @@
 """Views of all companions, based on the directory."""
 
+from datetime import timedelta
+
 from pomelotrail_core.directory import BackendServer, Directory
 from pomelotrail_core.offers import service_label
 from pomelotrail_core.ranking import RendezvousRanking
@@ -68,6 +70,9 @@
         """Return the view of a server's companion."""
         view = self._views.get(server.identity)
         if view is not None:
+            if view.server.started_ms != server.started_ms:
+                # With this time, the companion can tell whether it has all flows.
+                view.unsure_until = timedelta()
             view.server = server
             return view
         host = server.endpoint.host
