Lookups: one check of who may be probed, one count of rounds

The check whether a server belongs to the route stood in _query and in _probe_server; is_repeated and has_queried_all were one count; the most servers of a probe request stood in both roles and is now a constant of the message. Behaviour stays.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
@@ -41,8 +41,6 @@
 DATAGRAM_OVERHEAD_BYTES: Final = 28
 # The reply to a probe takes half the bytes of a query.
 PROBE_REPLY_COST: Final = 0.5
-# Companions decline to send a packet to more of them.
-MAX_PROBES_PER_REQUEST: Final = 64
 # As in RFC 6298, a reply is overdue after the mean and four deviations. The average
 # covers about the last ten replies.
 REPLY_TIME_WEIGHT: Final = 0.1
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -41,9 +41,9 @@
     ``first_packet`` started the lookup, ``held_packets`` arrived after it. Servers
     are listed by identity: those in ``denied`` don't own the flow, those in
     ``awaited`` were queried and have not replied. ``probed`` maps the address of a
-    companion to the server that a packet was sent to. ``is_repeated`` is set once all
-    companions were queried before. ``is_complete`` is set once the directory had all
-    entries that the store had when the lookup started.
+    companion to the server that a packet was sent to. ``full_rounds`` counts how often
+    all companions that had not denied the flow were queried. ``is_complete`` is set
+    once the directory had all entries that the store had when the lookup started.
     """
 
     flow: bytes
@@ -55,8 +55,7 @@
     denied: set[str] = msgspec.field(default_factory=set)
     awaited: set[str] = msgspec.field(default_factory=set)
     probed: dict[Address, str] = msgspec.field(default_factory=dict)
-    has_queried_all: bool = False
-    is_repeated: bool = False
+    full_rounds: int = 0
     is_checking: bool = False
     is_complete: bool = False
 
@@ -285,9 +284,8 @@
             return
         lookup.due = now + self._two_replies(LOOKUP_RETRY_INTERVAL)
         lookup.awaited = {each.server.identity for each in remaining}
-        lookup.is_repeated = lookup.has_queried_all
-        if not lookup.has_queried_all:
-            lookup.has_queried_all = True
+        lookup.full_rounds += 1
+        if lookup.full_rounds == 1:
             remaining += self._companions.confirmed_removals()
         for companion in remaining:
             self._query(lookup, companion, now)
@@ -301,10 +299,7 @@
         them costs a slow link more than the packet that the servers need anyway.
         Servers of services outside the route get no packet; their companions are asked.
         """
-        route = self._directory.route(lookup.first_packet.receiver)
-        services = {share.service for share in route.shares} if route else set()
-        is_probed = companion.server.service in services
-        if companion.unsure_until <= now or not is_probed:
+        if companion.unsure_until <= now or not self._may_probe(lookup, companion):
             self._counters.add("lookup_queries")
             self._queries.add(lookup.flow, companion)
         else:
@@ -322,19 +317,24 @@
     def _probe_server(
         self, lookup: FlowLookup, companion: CompanionView, identity: str
     ) -> None:
-        """Send a packet to the server of a companion that is unsure.
+        """Send a packet to the server of a companion that is unsure."""
+        if not self._may_probe(lookup, companion):
+            return
+        lookup.probed[companion.fleet_address] = identity
+        if lookup.full_rounds > 1:
+            self._probes.send_directly(lookup.first_packet, companion)
+        else:
+            self._probes.add(lookup.first_packet, companion)
 
-        Servers of services outside the route get no packet, so the companion remains
+    def _may_probe(self, lookup: FlowLookup, companion: CompanionView) -> bool:
+        """Return whether a companion's server may get the packet of a lookup.
+
+        Servers of services outside the route get no packet, so their companion remains
         unsure and the flow isn't reset.
         """
         route = self._directory.route(lookup.first_packet.receiver)
         shares = route.shares if route is not None else ()
-        if companion.server.service in {share.service for share in shares}:
-            lookup.probed[companion.fleet_address] = identity
-            if lookup.is_repeated:
-                self._probes.send_directly(lookup.first_packet, companion)
-            else:
-                self._probes.add(lookup.first_packet, companion)
+        return any(share.service == companion.server.service for share in shares)
 
     def _two_replies(self, minimum: timedelta) -> timedelta:
         """Return the time in which a query and a probe are answered."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/server_probes.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/server_probes.py
@@ -10,12 +10,11 @@
 from pomelotrail_core.datagram_callback import Address, SendDatagram
 from pomelotrail_core.endpoint import pack_address
 from pomelotrail_core.flows import Mark, Packet, PacketCodec
-from pomelotrail_core.offers import ProbeRequest, encode
+from pomelotrail_core.offers import MAX_PROBES_PER_REQUEST, ProbeRequest, encode
 
 from .const import (
     BATCH_INTERVAL,
     DATAGRAM_OVERHEAD_BYTES,
-    MAX_PROBES_PER_REQUEST,
     PROBE_REPLY_COST,
     QUERY_BYTES,
 )
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
@@ -40,9 +40,6 @@
 SWEEP_INTERVAL: Final = timedelta(seconds=1)
 # Minimum time between two probes of an unknown flow to the backend server.
 PROBE_INTERVAL: Final = timedelta(milliseconds=150)
-# A message with the addresses of so many companions and a packet of 1,200 bytes stays
-# below 1,700 bytes.
-MAX_RELAYED_PROBES: Final = 64
 # Bounds the memory for flows: 300 bytes each. A backend server has up to 2,000.
 MAX_FLOWS: Final = 16_000
 BUDGET_WINDOW: Final = timedelta(seconds=1)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -11,6 +11,7 @@
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import SEQUENCE_RANGE, Mark, Packet, PacketCodec, flow_text
 from pomelotrail_core.offers import (
+    MAX_PROBES_PER_REQUEST,
     Lookup,
     Offer,
     OfferReply,
@@ -28,7 +29,6 @@
 from .addresses import ServerProxyAddresses
 from .cold_budget import ColdBudget
 from .const import (
-    MAX_RELAYED_PROBES,
     MILLISECOND,
     SERVER_ACCEPT_TIMEOUT,
     SWEEP_INTERVAL,
@@ -177,7 +177,7 @@
     def _relay_probe(self, request: ProbeRequest) -> None:
         """Send the packet of a balancer on a slow link to several companions."""
         addresses = request.addresses
-        if len(addresses) > MAX_RELAYED_PROBES or any(
+        if len(addresses) > MAX_PROBES_PER_REQUEST or any(
             len(each) != PACKED_ENDPOINT_BYTES for each in addresses
         ):
             self._counters.add("messages_malformed")
--- a/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
@@ -1,6 +1,7 @@
 """Messages between balancers and companions about flows and their owners."""
 
 from .codec import decode, encode, service_label
+from .const import MAX_PROBES_PER_REQUEST
 from .messages import (
     FleetMessage,
     Lookup,
@@ -17,6 +18,7 @@
 )
 
 __all__ = [
+    "MAX_PROBES_PER_REQUEST",
     "FleetMessage",
     "Lookup",
     "LookupMiss",
