--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
@@ -15,7 +15,7 @@
 LATE_TIMER_THRESHOLD: Final = timedelta(milliseconds=10)
 # A process that is overloaded for longer than this can't serve the flow.
 MAX_LATE_TIMEOUTS: Final = 5
-# A companion reports an unresponsive backend server after 60 ms; see ServerProxy.
+# A companion reports an unresponsive backend server after 60 ms; see FlowAdmission.
 SERVER_ANSWER_TIMEOUT: Final = timedelta(milliseconds=80)
 # Offers per opening packet: to the preferred companions, some others, and those
 # with the shortest queues; each takes up to a round trip.
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -0,0 +1,155 @@
+"""Admission of new flows to the backend server."""
+
+import asyncio
+from datetime import timedelta
+
+from pomelotrail_core.clock import Clock
+from pomelotrail_core.counters import Counters
+from pomelotrail_core.datagram_callback import Address, SendDatagram
+from pomelotrail_core.event_log import EventLog
+from pomelotrail_core.flows import Packet, PacketCodec, flow_text
+from pomelotrail_core.offers import Offer, OfferReply, Outcome, Pong, encode
+
+from .cold_budget import ColdBudget
+from .const import SERVER_ACCEPT_TIMEOUT
+from .outage_tracker import OutageTracker
+from .request_gate import RequestGate
+from .server_flows import RouteSettings, ServerFlow, ServerFlows
+
+_PART = "doorway"
+
+
+class FlowAdmission:
+    """Accepts offers while the backend server has capacity, and reports its load.
+
+    A flow that was accepted may be declined later, if the server refuses its opening
+    packet or doesn't answer it.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        backend_server: Address,
+        flows: ServerFlows,
+        gate: RequestGate,
+        outages: OutageTracker,
+        codec: PacketCodec,
+        clock: Clock,
+        log: EventLog,
+        counters: Counters,
+        send_message: SendDatagram,
+        send_to_server: SendDatagram,
+    ) -> None:
+        """Admit flows to the server at ``backend_server``."""
+        self._service = service
+        self._backend_server = backend_server
+        self._flows = flows
+        self._gate = gate
+        self._outages = outages
+        self._codec = codec
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._send_message = send_message
+        self._send_to_server = send_to_server
+        self._budget = ColdBudget(clock.monotonic())
+
+    def handle_offer(self, offer: Offer, balancer: Address) -> None:
+        """Accept or decline an offer."""
+        packet = self._codec.decode(offer.packet)
+        if packet is None or not packet.opens:
+            self._counters.add("offers_malformed")
+            return
+        now = self._clock.monotonic()
+        self._outages.record(offer.unsettled_ms)
+        self._gate.set_slots(offer.slots)
+        self._flows.drop_unused_openings(now)
+        outcome = self._decide_outcome(offer, packet, now)
+        if outcome is Outcome.ACCEPTED:
+            self._accept_opening(offer, packet, balancer, now)
+        load = self._send_reply(offer.number, outcome, balancer)
+        self._counters.add(f"offers_{outcome.name.lower()}")
+        self._log.write(
+            _PART,
+            f"offer_{outcome.name.lower()}",
+            flow=flow_text(packet.caller_flow),
+            copy=packet.retransmission_count,
+            occupancy=self._flows.occupancy,
+            load=load,
+            limit=offer.limit,
+            cold_per_s=offer.cold_per_s,
+            balancer=balancer[0],
+        )
+
+    def handle_ping(self, number: int, balancer: Address) -> None:
+        """Reply to a ping."""
+        self._send_message(encode(Pong(number, *self._load_report())), balancer)
+
+    def handle_returned_opening(self, packet: Packet, entry: ServerFlow | None) -> None:
+        """Decline an accepted offer whose opening packet the server refused."""
+        self._counters.add("openings_returned")
+        if entry is None or entry.is_open:
+            return
+        self._flows.remove(entry.flow)
+        self._correct_offer_reply(entry, Outcome.REFUSED_BY_SERVER)
+
+    def _decide_outcome(self, offer: Offer, packet: Packet, now: timedelta) -> Outcome:
+        """Return the outcome of an offer."""
+        if offer.service != self._service:
+            return Outcome.OTHER_SERVICE
+        if self._flows.get(packet.caller_flow) is not None:
+            return Outcome.ACCEPTED
+        if self._flows.load(now) >= offer.limit:
+            return Outcome.BUSY
+        if offer.cold_per_s is not None and not self._budget.allows(
+            offer.cold_per_s, now
+        ):
+            return Outcome.COLD
+        return Outcome.ACCEPTED
+
+    def _accept_opening(
+        self, offer: Offer, packet: Packet, balancer: Address, now: timedelta
+    ) -> None:
+        """Send an opening packet to the server, or again if it lost the first one."""
+        entry = self._flows.get(packet.caller_flow)
+        if entry is not None and entry.is_open:
+            return
+        if entry is None:
+            entry = self._flows.open(packet.caller_flow, balancer, offer.number, now)
+        entry.balancer, entry.offer_number = balancer, offer.number
+        target = timedelta(milliseconds=offer.target_ms)
+        self._flows.set_route_settings(
+            entry.flow, RouteSettings(offer.priority, target)
+        )
+        self._budget.record(now)
+        asyncio.get_running_loop().call_later(
+            SERVER_ACCEPT_TIMEOUT.total_seconds(), self._report_accept_timeout, entry
+        )
+        self._send_to_server(self._codec.without_label(packet), self._backend_server)
+
+    def _report_accept_timeout(self, entry: ServerFlow) -> None:
+        """Report to the balancer that the backend server has not accepted a flow."""
+        is_pending = self._flows.get(entry.flow) is entry
+        if is_pending and entry.initial_sequence is None and not entry.is_open:
+            self._correct_offer_reply(entry, Outcome.SERVER_SILENT)
+
+    def _correct_offer_reply(self, entry: ServerFlow, outcome: Outcome) -> None:
+        """Correct the reply to an accepted offer."""
+        self._send_reply(entry.offer_number, outcome, entry.balancer)
+        self._log.write(
+            _PART,
+            outcome.name.lower(),
+            flow=flow_text(entry.flow),
+            occupancy=self._flows.occupancy,
+        )
+
+    def _send_reply(self, number: int, outcome: Outcome, balancer: Address) -> int:
+        """Send a balancer the outcome of its offer; return the reported load."""
+        reply = OfferReply(number, outcome, *self._load_report())
+        self._send_message(encode(reply), balancer)
+        return reply.occupancy
+
+    def _load_report(self) -> tuple[int, int, float]:
+        """Return load, number of flows and work time, as replies contain them."""
+        load = self._flows.load(self._clock.monotonic())
+        return load, len(self._flows), self._gate.work_ms
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -1,6 +1,5 @@
 """Proxy between the balancers, the backend server and the callers."""
 
-import asyncio
 from datetime import datetime, timedelta
 
 from pomelotrail_companion.request_queue import WorkEstimate
@@ -14,11 +13,8 @@
     MAX_PROBES_PER_REQUEST,
     Lookup,
     Offer,
-    OfferReply,
-    Outcome,
     Owner,
     Ping,
-    Pong,
     Probe,
     ProbeRequest,
     decode,
@@ -27,16 +23,12 @@
 )
 
 from .addresses import ServerProxyAddresses
-from .cold_budget import ColdBudget
-from .const import (
-    MILLISECOND,
-    SERVER_ACCEPT_TIMEOUT,
-    SWEEP_INTERVAL,
-)
+from .const import MILLISECOND, SWEEP_INTERVAL
+from .flow_admission import FlowAdmission
 from .ownership import Ownership
 from .reachability import async_is_server_gone
 from .request_gate import RequestGate
-from .server_flows import RouteSettings, ServerFlow, ServerFlows
+from .server_flows import ServerFlow, ServerFlows
 
 _PART = "doorway"
 
@@ -44,8 +36,8 @@
 class ServerProxy:
     """The datapath of a companion.
 
-    It accepts offers while the backend server has capacity, delivers packets of the
-    flows that the server owns, and reports ownership to balancers. A process that has
+    It delivers packets of the flows that the backend server owns, and reports ownership
+    to balancers; ``FlowAdmission`` decides on new flows. A process that has
     run for less than the maximum flow duration doesn't track all flows; it probes the
     backend server for the others.
     """
@@ -69,7 +61,6 @@
         ``is_first_start`` means that no earlier process of this companion can have
         accepted flows; ``process_started`` is the time of day when this one started.
         """
-        self._service = service
         self._addresses = addresses
         self._label = service_label(service)
         self._codec = codec
@@ -82,7 +73,6 @@
         estimate = WorkEstimate()
         self._flows = ServerFlows(estimate)
         self._gate = RequestGate(self._flows, estimate)
-        self._budget = ColdBudget(clock.monotonic())
         self._ownership = Ownership(
             service,
             is_first_start,
@@ -95,6 +85,19 @@
             send_message,
             self._forward_to_server,
         )
+        self._admission = FlowAdmission(
+            service,
+            addresses.backend_server,
+            self._flows,
+            self._gate,
+            self._ownership.outages,
+            codec,
+            clock,
+            log,
+            counters,
+            send_message,
+            send_to_server,
+        )
 
     @property
     def occupancy(self) -> int:
@@ -105,13 +108,11 @@
         """Handle a message of a balancer."""
         match decode(data):
             case Offer() as offer:
-                self._handle_offer(offer, sender)
+                self._admission.handle_offer(offer, sender)
             case Lookup() as lookup:
                 self._ownership.answer_lookup(lookup, sender)
             case Ping(number):
-                load = self._flows.load(self._clock.monotonic())
-                pong = Pong(number, load, len(self._flows), self._gate.work_ms)
-                self._send_message(encode(pong), sender)
+                self._admission.handle_ping(number, sender)
             case ProbeRequest() as request:
                 self._relay_probe(request)
             case Probe(packet, balancer) if len(balancer) == PACKED_ENDPOINT_BYTES:
@@ -187,73 +188,6 @@
             self._send_message(message, unpack_address(address))
         self._counters.add("probes_relayed", len(addresses))
 
-    def _handle_offer(self, offer: Offer, balancer: Address) -> None:
-        """Accept or decline an offer."""
-        packet = self._codec.decode(offer.packet)
-        if packet is None or not packet.opens:
-            self._counters.add("offers_malformed")
-            return
-        now = self._clock.monotonic()
-        self._ownership.outages.record(offer.unsettled_ms)
-        self._gate.set_slots(offer.slots)
-        self._flows.drop_unused_openings(now)
-        outcome = self._decide_outcome(offer, packet, now)
-        if outcome is Outcome.ACCEPTED:
-            self._accept_opening(offer, packet, balancer, now)
-        load = self._flows.load(now)
-        reply = OfferReply(
-            offer.number, outcome, load, len(self._flows), self._gate.work_ms
-        )
-        self._send_message(encode(reply), balancer)
-        self._counters.add(f"offers_{outcome.name.lower()}")
-        self._log.write(
-            _PART,
-            f"offer_{outcome.name.lower()}",
-            flow=flow_text(packet.caller_flow),
-            copy=packet.retransmission_count,
-            occupancy=self._flows.occupancy,
-            load=load,
-            limit=offer.limit,
-            cold_per_s=offer.cold_per_s,
-            balancer=balancer[0],
-        )
-
-    def _decide_outcome(self, offer: Offer, packet: Packet, now: timedelta) -> Outcome:
-        """Return the outcome of an offer."""
-        if offer.service != self._service:
-            return Outcome.OTHER_SERVICE
-        if self._flows.get(packet.caller_flow) is not None:
-            return Outcome.ACCEPTED
-        if self._flows.load(now) >= offer.limit:
-            return Outcome.BUSY
-        if offer.cold_per_s is not None and not self._budget.allows(
-            offer.cold_per_s, now
-        ):
-            return Outcome.COLD
-        return Outcome.ACCEPTED
-
-    def _accept_opening(
-        self, offer: Offer, packet: Packet, balancer: Address, now: timedelta
-    ) -> None:
-        """Send an opening packet to the server, or again if it lost the first one."""
-        entry = self._flows.get(packet.caller_flow)
-        if entry is not None and entry.is_open:
-            return
-        if entry is None:
-            entry = self._flows.open(packet.caller_flow, balancer, offer.number, now)
-        entry.balancer, entry.offer_number = balancer, offer.number
-        target = timedelta(milliseconds=offer.target_ms)
-        self._flows.set_route_settings(
-            entry.flow, RouteSettings(offer.priority, target)
-        )
-        self._budget.record(now)
-        asyncio.get_running_loop().call_later(
-            SERVER_ACCEPT_TIMEOUT.total_seconds(), self._report_accept_timeout, entry
-        )
-        self._send_to_server(
-            self._codec.without_label(packet), self._addresses.backend_server
-        )
-
     def _matches_flow(self, entry: ServerFlow, packet: Packet) -> bool:
         """Return whether a packet belongs to the flow that this server accepted."""
         if entry.is_open:
@@ -307,43 +241,13 @@
         flow = packet.caller_flow
         entry = self._flows.get(flow)
         if packet.opens:
-            self._handle_returned_opening(packet, entry)
+            self._admission.handle_returned_opening(packet, entry)
         elif entry is not None and entry.is_open and not entry.is_closed:
             entry.next_sequence = packet.acknowledged
             self._reset(entry, "server_lost_flow")
         else:
             self._ownership.handle_returned_probe(packet)
 
-    def _handle_returned_opening(
-        self, packet: Packet, entry: ServerFlow | None
-    ) -> None:
-        """Decline an accepted offer whose opening packet the server refused."""
-        self._counters.add("openings_returned")
-        if entry is None or entry.is_open:
-            return
-        self._flows.remove(entry.flow)
-        self._correct_offer_reply(entry, Outcome.REFUSED_BY_SERVER)
-
-    def _report_accept_timeout(self, entry: ServerFlow) -> None:
-        """Report to the balancer that the backend server has not accepted a flow."""
-        is_pending = self._flows.get(entry.flow) is entry
-        if is_pending and entry.initial_sequence is None and not entry.is_open:
-            self._correct_offer_reply(entry, Outcome.SERVER_SILENT)
-
-    def _correct_offer_reply(self, entry: ServerFlow, outcome: Outcome) -> None:
-        """Correct the reply to an accepted offer."""
-        load = self._flows.load(self._clock.monotonic())
-        reply = OfferReply(
-            entry.offer_number, outcome, load, len(self._flows), self._gate.work_ms
-        )
-        self._send_message(encode(reply), entry.balancer)
-        self._log.write(
-            _PART,
-            outcome.name.lower(),
-            flow=flow_text(entry.flow),
-            occupancy=self._flows.occupancy,
-        )
-
     def _reset(self, entry: ServerFlow, reason: str) -> None:
         """Reset a flow that the backend server no longer has."""
         self._flows.remove(entry.flow)
