Directory: the outage of the source has a module of its own

What may explain a missing entry, and until when it is kept, stood in five places of the directory; it is now decided in source_outage.py. Events and their lines stay in the directory. Nothing else changes.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -10,7 +10,6 @@
 from .const import (
     FORMER_SERVER_RETENTION,
     MISSING_ENTRY_GRACE,
-    OUTAGE_ATTRIBUTION_WINDOW,
     OUTAGE_LOST_SHARE,
     OUTAGE_MIN_LOST,
 )
@@ -27,6 +26,7 @@
     UnusableItem,
     ZoneItem,
 )
+from .source_outage import SourceOutage
 
 _PART = "directory"
 
@@ -49,8 +49,7 @@
         self._zones_out: set[str] = set()
         self._configuration: PublishedConfiguration | None = None
         self._revision = 0
-        self._is_source_lost = False
-        self._source_returned: timedelta | None = None
+        self._outage = SourceOutage(clock)
         self._generation = 0
         self._usable = asyncio.Event()
         self._first_listed: timedelta | None = None
@@ -74,14 +73,7 @@
     @property
     def missing_entry_grace_remaining(self) -> timedelta:
         """Return the remaining grace period of entries missing after an outage."""
-        if self._is_source_lost:
-            return MISSING_ENTRY_GRACE
-        if self._source_returned is None:
-            return timedelta()
-        return max(
-            timedelta(),
-            self._source_returned + MISSING_ENTRY_GRACE - self._clock.monotonic(),
-        )
+        return self._outage.grace_remaining
 
     @property
     def may_lack_entries(self) -> bool:
@@ -135,7 +127,7 @@
     def is_removal_confirmed(self, server: BackendServer) -> bool:
         """Return whether a removed backend server is past the grace period."""
         former = self._former.get(server.identity)
-        if former is None or self._is_source_lost:
+        if former is None or self._outage.is_current:
             return False
         return self._clock.monotonic() - former.recorded_at >= MISSING_ENTRY_GRACE
 
@@ -212,9 +204,9 @@
 
     def record_source_failure(self, reason: str) -> None:
         """Record that the source is unreachable."""
-        if not self._is_source_lost:
+        if not self._outage.is_current:
             self._log.write(_PART, "source_lost", reason=reason, version=self.version)
-        self._is_source_lost = True
+        self._outage.begin()
 
     def record_check_failure(self, reason: str) -> None:
         """Record that a query of the source's revision failed."""
@@ -222,14 +214,13 @@
 
     def record_source_reached(self) -> None:
         """Record that the source is reachable."""
-        if not self._is_source_lost:
+        if not self._outage.is_current:
             return
-        self._is_source_lost = False
-        self._source_returned = self._clock.monotonic()
+        self._outage.end()
         self._log.write(_PART, "source_back", version=self.version)
         for known in self._known.values():
             if known.grace_ends is not None:
-                known.grace_ends = self._source_returned + MISSING_ENTRY_GRACE
+                known.grace_ends = self._outage.grace_end
 
     def _record_first_listing(self) -> None:
         """Record the time of the first listing and check for an outage before it."""
@@ -308,13 +299,11 @@
         known = self._known.get(identity)
         if known is None or known.grace_ends is not None:
             return
-        now = self._clock.monotonic()
-        if known.server.state is ServerState.LEAVING or not self._may_be_outage(now):
+        is_leaving = known.server.state is ServerState.LEAVING
+        if is_leaving or not self._outage.may_explain_missing_entry:
             self._remove(identity, "entry_removed")
             return
-        known.grace_ends = (
-            self._source_returned if not self._is_source_lost else now
-        ) + MISSING_ENTRY_GRACE
+        known.grace_ends = self._outage.grace_end
         self._record_change("server_lapsed", server=identity)
 
     def _infer_outage(self, missing: list[str]) -> None:
@@ -323,14 +312,13 @@
         Handles this load pattern: an outage shorter than the wait of a watch, in which
         entries expire. No call fails, and most servers would be removed.
         """
-        now = self._clock.monotonic()
         ready = [x for x, known in self._known.items() if known.is_ready]
         lost = set(missing).intersection(ready)
         if len(lost) < OUTAGE_MIN_LOST or len(lost) < OUTAGE_LOST_SHARE * len(ready):
             return
-        if self._may_be_outage(now):
+        if self._outage.may_explain_missing_entry:
             return
-        self._source_returned = now
+        self._outage.end()
         self._log.write(
             _PART,
             "outage_inferred",
@@ -339,19 +327,10 @@
             revision=self._revision,
         )
 
-    def _may_be_outage(self, now: timedelta) -> bool:
-        """Return whether an outage may be the cause of a missing entry."""
-        if self._is_source_lost:
-            return True
-        return (
-            self._source_returned is not None
-            and now - self._source_returned < OUTAGE_ATTRIBUTION_WINDOW
-        )
-
     def _remove_expired(self) -> None:
         """Remove missing entries and former servers whose time has expired."""
         now = self._clock.monotonic()
-        if not self._is_source_lost:
+        if not self._outage.is_current:
             for identity, known in list(self._known.items()):
                 if known.grace_ends is not None and now >= known.grace_ends:
                     self._remove(identity, "lapse_not_renewed")
@@ -366,7 +345,7 @@
             former
             for former in self._former.values()
             if (
-                not self._is_source_lost
+                not self._outage.is_current
                 and now - former.recorded_at >= MISSING_ENTRY_GRACE
             )
             is is_confirmed
