Directory: log the era of each revision, listings, and entries that are not applied

The lines of a balancer didn't tell whether it resumed its watch in another history of the store or read the change and didn't adopt it: a listing left no line, an entry that is not applied left none, and no line had the era of its revision.

Revision holds era and number. Answers carry the era (0 where the store reports none), the stand-in gets eras and restores from a copy, and a watch after a revision that it doesn't have fails as the protocol says. All comparisons are still by number only: decisions are as before. New: the lines listed, configuration_ignored, entry_outdated, the era in each line that has a revision, the gauge store_era, the counter store_restores.

--- a/harness/changing_fleet.py
+++ b/harness/changing_fleet.py
@@ -14,13 +14,14 @@
 
 import msgspec
 
-from harness.flow_fleet import FIRST_REVISION, SERVICE_ADDRESS, FlowFleet
+from harness.flow_fleet import FIRST_REVISION, SERVICE_ADDRESS, FlowFleet, later
 from pomelotrail_core.directory import (
     BackendServer,
     ConfigurationItem,
     Directory,
     Listing,
     RemovedItem,
+    Revision,
     ServerItem,
 )
 from pomelotrail_core.endpoint import pack_address
@@ -46,7 +47,7 @@
             host: self.fleet.server_entry(host, FIRST_REVISION)
             for host in self._hosts[:servers]
         }
-        self._changes: list[tuple[int, ServerItem | RemovedItem]] = []
+        self._changes: list[tuple[Revision, ServerItem | RemovedItem]] = []
         for index in range(balancers):
             self.restart_balancer(index)
 
@@ -137,13 +138,13 @@
     def _next_entry(self, host: str) -> BackendServer:
         """Return the entry of a new server at an address."""
         return msgspec.structs.replace(
-            self.fleet.server_entry(host, self._revision + 1),
-            identity=f"server-{host}-{self._revision}",
+            self.fleet.server_entry(host, later(self._revision)),
+            identity=f"server-{host}-{self._revision.number}",
         )
 
     def _publish(self, item: ServerItem | RemovedItem) -> None:
         """Write a change to the store."""
-        self._revision += 1
+        self._revision = later(self._revision)
         self._changes.append((self._revision, item))
         self.fleet.source.revision = self._revision
 
--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -29,6 +29,7 @@
     DirectorySource,
     Listing,
     PublishedConfiguration,
+    Revision,
     Route,
     ServerItem,
     ServerState,
@@ -54,10 +55,15 @@
 SERVICE: Final = "stock-ledger"
 SERVICE_ADDRESS: Final = ("198.51.100.1", 443)
 ROUTE_TIMEOUT: Final = timedelta(seconds=4)
-FIRST_REVISION: Final = 100
+FIRST_REVISION: Final = Revision(number=100)
 CALLERS_HOST: Final = "203.0.113.9"
 
 
+def later(revision: Revision, count: int = 1) -> Revision:
+    """Return the revision some changes later in the same era."""
+    return Revision(revision.era, revision.number + count)
+
+
 class MemoryLogWriter(LogWriter):
     """Stores log lines in memory."""
 
@@ -84,12 +90,12 @@
         raise NotImplementedError
 
     async def async_changes(
-        self, after: int, wait: timedelta, timeout: timedelta
+        self, after: Revision, wait: timedelta, timeout: timedelta
     ) -> Result[Listing, SourceError]:
         """Not supported by this fake."""
         raise NotImplementedError
 
-    async def async_revision(self, timeout: timedelta) -> Result[int, SourceError]:
+    async def async_revision(self, timeout: timedelta) -> Result[Revision, SourceError]:
         """Return the revision."""
         if not self.is_reachable:
             return Err(SourceError(SourceProblem.UNREACHABLE, "cut"))
@@ -146,7 +152,7 @@
 
         Unless ``is_listed``, its directory is empty until ``directory().replace``.
         """
-        directory = Directory(self.clock, self.log)
+        directory = Directory(self.clock, self.log, self.counters)
         if is_listed:
             directory.replace(self.listing())
         check = CompletenessCheck(
@@ -241,12 +247,12 @@
             {SERVICE: ServiceSettings(SERVICE, self.cold_flows_per_s)},
         )
         servers = [
-            ServerItem(self.server_entry(host, revision))
-            for revision, host in enumerate(self.servers, 2)
+            ServerItem(self.server_entry(host, Revision(number=number)))
+            for number, host in enumerate(self.servers, 2)
         ]
         return Listing((ConfigurationItem(configuration), *servers), FIRST_REVISION)
 
-    def server_entry(self, host: str, revision: int) -> BackendServer:
+    def server_entry(self, host: str, revision: Revision) -> BackendServer:
         """Return the directory entry of a backend server."""
         service = self.servers[host].service
         name = "server" if service == SERVICE else service
--- a/harness/tests/test_flow_admission.py
+++ b/harness/tests/test_flow_admission.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from harness.flow_fleet import ROUTE_TIMEOUT, SERVICE, FlowFleet
+from harness.flow_fleet import FIRST_REVISION, ROUTE_TIMEOUT, SERVICE, FlowFleet, later
 from harness.virtual_time import run_in_virtual_time
 from pomelotrail_balancer.placement.const import (
     INITIAL_WORK_ESTIMATE,
@@ -147,9 +147,12 @@
             ready, *leaving = fleet.servers
             for host in leaving:
                 entry = msgspec.structs.replace(
-                    fleet.server_entry(host, 300), state=ServerState.LEAVING
+                    fleet.server_entry(host, later(FIRST_REVISION, 200)),
+                    state=ServerState.LEAVING,
+                )
+                fleet.directory().apply(
+                    Listing((ServerItem(entry),), later(FIRST_REVISION, 200))
                 )
-                fleet.directory().apply(Listing((ServerItem(entry),), 300))
             for _ in range(5):
                 await fleet.caller().async_open_and_request(b"one")
             counts = [
--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from harness.flow_fleet import FlowFleet
+from harness.flow_fleet import FIRST_REVISION, FlowFleet, later
 from harness.virtual_time import run_in_virtual_time
 from pomelotrail_core.directory import Listing, RemovedItem, ServerItem, ServiceShare
 from stand_ins.flows import StandInCaller
@@ -74,7 +74,7 @@
             fleet.start_balancer("192.0.2.200", is_listed=False)
             if is_first_seen:
                 fleet.directory().record_source_failure("silent")
-                fleet.directory().record_source_reached()
+                fleet.directory().record_source_reached(FIRST_REVISION)
             listed = fleet.listing()
             remaining_items = [each for each in listed.items if owner not in str(each)]
             fleet.directory().replace(Listing(tuple(remaining_items), listed.revision))
@@ -95,7 +95,7 @@
             fleet, caller = await self.async_lose_all_flows()
             fleet.start_balancer("192.0.2.201", is_listed=False)
             fleet.directory().record_source_failure("silent")
-            fleet.directory().record_source_reached()
+            fleet.directory().record_source_reached(FIRST_REVISION)
             fleet.directory().replace(fleet.listing())
             with self.assertRaises(TimeoutError):
                 await caller.async_send_request(b"two", 5)
@@ -110,7 +110,7 @@
         async def async_run() -> None:
             """Give the store a later revision than the balancer's."""
             fleet, caller = await self.async_lose_all_flows()
-            fleet.source.revision += 1
+            fleet.source.revision = later(fleet.source.revision)
             with self.assertRaises(TimeoutError):
                 await caller.async_send_request(b"two", 10)
             fleet.directory().apply(Listing((), fleet.source.revision))
@@ -135,7 +135,7 @@
             ]
             fleet.network.remove_host(owner)
             removed = RemovedItem(identity=f"server-{owner}")
-            fleet.directory().apply(Listing((removed,), 200))
+            fleet.directory().apply(Listing((removed,), later(FIRST_REVISION, 100)))
             await asyncio.sleep(2.1)
             self.assertIsNone(await caller.async_send_request(b"two", 1))
 
@@ -231,7 +231,7 @@
                     msgspec.structs.replace(
                         each.server,
                         identity=f"new-{each.server.identity}",
-                        revision=each.server.revision + 50,
+                        revision=later(each.server.revision, 50),
                     )
                 )
                 for each in listed.items
@@ -318,7 +318,7 @@
             fleet.use_balancer(0)
             for host in fleet.servers:
                 removed = RemovedItem(identity=f"server-{host}")
-                fleet.directory().apply(Listing((removed,), 200))
+                fleet.directory().apply(Listing((removed,), later(FIRST_REVISION, 100)))
             self.assertEqual(await caller.async_send_request(b"two"), b"answer to two")
             self.assertFalse(await fleet.caller().async_open())
 
--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -6,11 +6,17 @@
 
 import msgspec
 
-from harness.flow_fleet import FIRST_REVISION, SERVICE_ADDRESS, FlowFleet
+from harness.flow_fleet import FIRST_REVISION, SERVICE_ADDRESS, FlowFleet, later
 from harness.virtual_time import run_in_virtual_time
 from pomelotrail_balancer.flow_balancing.const import UNSURE_RETENTION
 from pomelotrail_core.datagram_callback import Address
-from pomelotrail_core.directory import Directory, Listing, RemovedItem, ServerItem
+from pomelotrail_core.directory import (
+    Directory,
+    Listing,
+    RemovedItem,
+    Revision,
+    ServerItem,
+)
 from pomelotrail_core.endpoint import pack_address
 from stand_ins.flows import StandInCaller
 
@@ -18,7 +24,7 @@
 def listing_without(fleet: FlowFleet, host: str) -> Listing:
     """Return what the store listed before the server of a host registered."""
     items = [each for each in fleet.listing().items if host not in str(each)]
-    return Listing(tuple(items), FIRST_REVISION - 1)
+    return Listing(tuple(items), later(FIRST_REVISION, -1))
 
 
 class ChangingDirectoryTest(unittest.TestCase):
@@ -64,13 +70,15 @@
             fleet, caller, host = await self.async_open_at_first_server()
             fleet.start_balancer("192.0.2.200", is_listed=False)
             earlier = msgspec.structs.replace(
-                fleet.server_entry(host, 2),
+                fleet.server_entry(host, Revision(number=2)),
                 identity="earlier",
                 service="certificate-desk",
             )
             without = listing_without(fleet, host)
             fleet.directory().replace(
-                Listing((*without.items, ServerItem(earlier)), FIRST_REVISION - 1)
+                Listing(
+                    (*without.items, ServerItem(earlier)), later(FIRST_REVISION, -1)
+                )
             )
             # The companion accepted the flow again, and its opening isn't complete yet.
             fleet.proxies[host]._flows.get(caller_flow(caller)).is_open = False
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
@@ -250,8 +250,7 @@
             "reset",
             flow=flow_text(packet.caller_flow),
             reason=reason,
-            version=self._directory.version,
-            revision=self._directory.revision,
+            **self._directory.log_fields,
         )
         self._counters.add(f"resets_{reason}")
         host, _ = unpack_address(packet.sender)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -146,8 +146,7 @@
             flow=flow_text(packet.caller_flow),
             service=service,
             outcomes=outcomes,
-            version=self._directory.version,
-            revision=self._directory.revision,
+            **self._directory.log_fields,
         )
         if is_certain:
             self._reset(packet, "nobody_takes_it")
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -223,8 +223,7 @@
             flow=flow_text(flow),
             asked=len(lookup.awaited),
             holders=len(possible_owners),
-            version=self._directory.version,
-            revision=self._directory.revision,
+            **self._directory.log_fields,
         )
         if self._batch_timer is None:
             loop = asyncio.get_running_loop()
@@ -351,7 +350,7 @@
                 flow=flow_text(lookup.flow),
                 denied=len(lookup.denied),
                 lookup_ms=(now - lookup.started) // MILLISECOND,
-                revision=self._directory.revision,
+                **self._directory.log_fields,
             )
             self._on_unowned(lookup.first_packet)
         elif not lookup.is_checking:
--- a/packages/pomelotrail-core/pomelotrail_core/counters/counters.py
+++ b/packages/pomelotrail-core/pomelotrail_core/counters/counters.py
@@ -1,4 +1,4 @@
-"""Integer counters for hot paths, rendered in the Prometheus text format.
+"""Integer counters and gauges for hot paths, rendered in the Prometheus text format.
 
 The roles on small VMs don't import the OpenTelemetry SDK: it costs 2.4 MB and
 about 90 ms of processor time at each start. ``prometheus_client`` renders the
@@ -63,6 +63,7 @@
     def __init__(self) -> None:
         """Start with nothing counted."""
         self._counts: Counter[str] = Counter()
+        self._gauges: dict[str, int] = {}
         self._histograms: dict[str, LatencyHistogram] = {}
 
     def add(self, name: str, count: int = 1) -> None:
@@ -73,6 +74,10 @@
         """Return the value of a counter."""
         return self._counts[name]
 
+    def set_gauge(self, name: str, value: int) -> None:
+        """Set a gauge."""
+        self._gauges[name] = value
+
     def latency(self, name: str) -> LatencyHistogram:
         """Return the histogram of that name, creating it at first use."""
         histogram = self._histograms.get(name)
@@ -82,11 +87,13 @@
 
     def collect(self) -> "Iterator[Metric]":
         """Yield all metrics; ``prometheus_client`` calls this."""
-        from prometheus_client.core import CounterMetricFamily
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
         for name, count in sorted(self._counts.items()):
             full_name = f"{METRIC_PREFIX}_{name}"
             yield CounterMetricFamily(full_name, f"{name} since the start", count)
+        for name, value in sorted(self._gauges.items()):
+            yield GaugeMetricFamily(f"{METRIC_PREFIX}_{name}", name, value)
         for name, histogram in sorted(self._histograms.items()):
             yield histogram.metric(f"{METRIC_PREFIX}_{name}")
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/__init__.py
@@ -19,6 +19,7 @@
     UnusableItem,
     ZoneItem,
 )
+from .revision import Revision
 from .source import DirectorySource
 
 __all__ = [
@@ -32,6 +33,7 @@
     "Listing",
     "PublishedConfiguration",
     "RemovedItem",
+    "Revision",
     "Route",
     "ServerItem",
     "ServerState",
--- a/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
@@ -10,6 +10,7 @@
 
 from .const import CHECK_COOLDOWN, CHECK_INTERVAL, CHECK_TIMEOUT
 from .directory import Directory
+from .revision import Revision
 from .source import DirectorySource
 
 
@@ -42,7 +43,7 @@
         self._next_call = clock.monotonic()
         self._call_started: timedelta | None = None
         self._covered_until: timedelta | None = None
-        self._revision = 0
+        self._revision = Revision()
 
     async def async_is_complete(self, since: timedelta) -> bool:
         """Return whether the directory has all changes up to ``since``.
@@ -65,7 +66,7 @@
     def _is_known(self, since: timedelta) -> bool:
         """Return whether an earlier response covers a time."""
         is_covered = self._covered_until is not None and self._covered_until >= since
-        return is_covered and self._directory.revision >= self._revision
+        return is_covered and self._directory.revision.number >= self._revision.number
 
     async def _async_check(self) -> bool:
         """Query the revision of the source, at most once per cooldown."""
@@ -82,12 +83,14 @@
                 self._directory.record_check_failure(str(error))
         return False
 
-    async def _async_wait_for_revision(self, revision: int) -> bool:
+    async def _async_wait_for_revision(self, revision: Revision) -> bool:
         """Wait until changes in flight have been applied, up to the timeout."""
         waited = timedelta()
-        if self._directory.revision < revision:
+        if self._directory.revision.number < revision.number:
             self._request_refresh()
-        while self._directory.revision < revision and waited < CHECK_TIMEOUT:
+        while (
+            self._directory.revision.number < revision.number and waited < CHECK_TIMEOUT
+        ):
             await self._clock.async_sleep(CHECK_INTERVAL)
             waited += CHECK_INTERVAL
-        return self._directory.revision >= revision
+        return self._directory.revision.number >= revision.number
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from pomelotrail_core.clock import Clock
+from pomelotrail_core.counters import Counters
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.event_log import EventLog
 
@@ -26,6 +27,7 @@
     UnusableItem,
     ZoneItem,
 )
+from .revision import Revision
 from .source_outage import SourceOutage
 
 _PART = "directory"
@@ -40,15 +42,16 @@
     once. Flows may still be looked up on a removed server.
     """
 
-    def __init__(self, clock: Clock, log: EventLog) -> None:
+    def __init__(self, clock: Clock, log: EventLog, counters: Counters) -> None:
         """Initialize an empty directory."""
         self._clock = clock
         self._log = log
+        self._counters = counters
         self._known: dict[str, KnownServer] = {}
         self._former: dict[str, KnownServer] = {}
         self._zones_out: set[str] = set()
         self._configuration: PublishedConfiguration | None = None
-        self._revision = 0
+        self._revision = Revision()
         self._outage = SourceOutage(clock)
         self._generation = 0
         self._usable = asyncio.Event()
@@ -66,10 +69,19 @@
         return self._configuration.version if self._configuration else 0
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> Revision:
         """Return the revision of the store up to which changes are applied."""
         return self._revision
 
+    @property
+    def log_fields(self) -> dict[str, int]:
+        """Return the version, era and revision that a decision is based on."""
+        return {
+            "version": self.version,
+            "era": self._revision.era,
+            "revision": self._revision.number,
+        }
+
     @property
     def missing_entry_grace_remaining(self) -> timedelta:
         """Return the remaining grace period of entries missing after an outage."""
@@ -156,6 +168,7 @@
     def replace(self, listing: Listing) -> None:
         """Apply a full listing; entries that are not in it are missing."""
         self._record_first_listing()
+        self._log_listing(listing)
         listed = {
             item.server.identity
             for item in listing.items
@@ -172,7 +185,7 @@
 
     def apply(self, listing: Listing) -> None:
         """Apply changes in order."""
-        self._revision = listing.revision
+        self._record_revision(listing.revision)
         removed = [entry for entry in listing.items if isinstance(entry, RemovedItem)]
         self._infer_outage([entry.identity for entry in removed])
         for item in listing.items:
@@ -205,19 +218,25 @@
     def record_source_failure(self, reason: str) -> None:
         """Record that the source is unreachable."""
         if not self._outage.is_current:
-            self._log.write(_PART, "source_lost", reason=reason, version=self.version)
+            self._log.write(_PART, "source_lost", reason=reason, **self.log_fields)
         self._outage.begin()
 
     def record_check_failure(self, reason: str) -> None:
         """Record that a query of the source's revision failed."""
-        self._log.write(_PART, "check_failed", reason=reason, revision=self._revision)
+        self._log.write(_PART, "check_failed", reason=reason, **self.log_fields)
 
-    def record_source_reached(self) -> None:
-        """Record that the source is reachable."""
+    def record_source_reached(self, revision: Revision) -> None:
+        """Record that the source answered, with the revision that it is at."""
         if not self._outage.is_current:
             return
         self._outage.end()
-        self._log.write(_PART, "source_back", version=self.version)
+        self._log.write(
+            _PART,
+            "source_back",
+            source_era=revision.era,
+            source_revision=revision.number,
+            **self.log_fields,
+        )
         for known in self._known.values():
             if known.grace_ends is not None:
                 known.grace_ends = self._outage.grace_end
@@ -240,7 +259,7 @@
             _PART,
             "may_lack_entries",
             for_ms=int(remaining.total_seconds() * 1000),
-            revision=self._revision,
+            **self.log_fields,
         )
 
     def _record_server(self, server: BackendServer) -> None:
@@ -250,6 +269,14 @@
             known.grace_ends = None
             return
         if self._is_outdated(server):
+            self._log.write(
+                _PART,
+                "entry_outdated",
+                server=server.identity,
+                address=str(server.endpoint),
+                entry_revision=server.revision.number,
+                **self.log_fields,
+            )
             return
         self._remove_reused_address(server)
         self._known[server.identity] = KnownServer(server, self._clock.monotonic())
@@ -324,7 +351,7 @@
             "outage_inferred",
             missing=len(lost),
             ready=len(ready),
-            revision=self._revision,
+            **self.log_fields,
         )
 
     def _remove_expired(self) -> None:
@@ -360,6 +387,12 @@
     def _adopt(self, configuration: PublishedConfiguration) -> None:
         """Put a newer version of the configuration in force."""
         if configuration.version <= self.version:
+            self._log.write(
+                _PART,
+                "configuration_ignored",
+                ignored=configuration.version,
+                **self.log_fields,
+            )
             return
         self._configuration = configuration
         self._usable.set()
@@ -388,6 +421,28 @@
     def _record_change(self, event: str, **fields: str | int) -> None:
         """Log a change of the known state with its version and revision."""
         self._generation += 1
+        self._log.write(_PART, event, **fields, **self.log_fields)
+
+    def _record_revision(self, revision: Revision) -> None:
+        """Record the revision of an answer; count a restore if its era is new."""
+        if self._revision != Revision() and revision.era > self._revision.era:
+            self._counters.add("store_restores")
+        self._revision = revision
+        self._counters.set_gauge("store_era", revision.era)
+
+    def _log_listing(self, listing: Listing) -> None:
+        """Log what a listing contains and what was known before it."""
+        items = listing.items
+        configurations = [x for x in items if isinstance(x, ConfigurationItem)]
         self._log.write(
-            _PART, event, **fields, version=self.version, revision=self._revision
+            _PART,
+            "listed",
+            listed_era=listing.revision.era,
+            listed_revision=listing.revision.number,
+            listed_version=max(
+                (x.configuration.version for x in configurations), default=0
+            ),
+            servers=sum(isinstance(x, ServerItem) for x in items),
+            zones_out=sum(isinstance(x, ZoneItem) for x in items),
+            **self.log_fields,
         )
--- a/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
@@ -20,6 +20,7 @@
 )
 from .directory import Directory
 from .errors import SourceError, SourceProblem
+from .revision import Revision
 from .source import DirectorySource
 
 
@@ -56,7 +57,7 @@
         while True:
             match await self._source.async_list(LIST_TIMEOUT):
                 case Ok(listing):
-                    self._record_success()
+                    self._record_success(listing.revision)
                     self._directory.replace(listing)
                     return
                 case Err(error):
@@ -70,7 +71,7 @@
             )
             match changes:
                 case Ok(listing):
-                    self._record_success()
+                    self._record_success(listing.revision)
                     self._directory.apply(listing)
                     if listing.items:
                         await self._async_wait_for_batch()
@@ -89,10 +90,10 @@
             # No refresh was requested within the window.
             return
 
-    def _record_success(self) -> None:
-        """Reset the backoff and record that the source is reachable."""
+    def _record_success(self, revision: Revision) -> None:
+        """Reset the backoff and record that the source answered."""
         self._failures = 0
-        self._directory.record_source_reached()
+        self._directory.record_source_reached(revision)
 
     async def _async_back_off(self, error: SourceError) -> None:
         """Wait before the next call, with exponential backoff."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
@@ -8,6 +8,8 @@
 
 from pomelotrail_core.endpoint import Endpoint
 
+from .revision import Revision
+
 
 class ServerState(enum.Enum):
     """Whether a backend server accepts new flows."""
@@ -32,7 +34,7 @@
     slots: int
     state: ServerState
     cold_for: timedelta
-    revision: int = 0
+    revision: Revision = Revision()
     started_ms: int = 0
 
 
@@ -117,4 +119,4 @@
     """Items in the order in which they were written, up to ``revision``."""
 
     items: tuple[DirectoryItem, ...]
-    revision: int
+    revision: Revision
--- a/packages/pomelotrail-core/pomelotrail_core/directory/source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/source.py
@@ -7,6 +7,7 @@
 
 from .errors import SourceError
 from .messages import Listing
+from .revision import Revision
 
 
 class DirectorySource(abc.ABC):
@@ -17,11 +18,11 @@
         """Return all entries of the store."""
 
     @abc.abstractmethod
-    async def async_revision(self, timeout: timedelta) -> Result[int, SourceError]:
+    async def async_revision(self, timeout: timedelta) -> Result[Revision, SourceError]:
         """Return the revision of the last change."""
 
     @abc.abstractmethod
     async def async_changes(
-        self, after: int, wait: timedelta, timeout: timedelta
+        self, after: Revision, wait: timedelta, timeout: timedelta
     ) -> Result[Listing, SourceError]:
         """Return the changes after a revision; wait for the first one."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/builders.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/builders.py
@@ -11,6 +11,7 @@
     DirectoryItem,
     Listing,
     PublishedConfiguration,
+    Revision,
     ServerItem,
     ServerState,
     ServiceSettings,
@@ -25,12 +26,13 @@
     slots=4,
     state=ServerState.READY,
     cold_for=timedelta(),
-    revision=1,
+    revision=Revision(number=1),
 )
 
 
-def server(**changes: Any) -> BackendServer:
+def server(revision: int = 1, era: int = 0, **changes: Any) -> BackendServer:
     """Return a backend server."""
+    changes["revision"] = Revision(era, revision)
     return msgspec.structs.replace(_SERVER, **changes)
 
 
@@ -45,6 +47,6 @@
     return ConfigurationItem(PublishedConfiguration(version, {}, services))
 
 
-def listing(*items: DirectoryItem, revision: int = 10) -> Listing:
+def listing(*items: DirectoryItem, revision: int = 10, era: int = 0) -> Listing:
     """Return a listing."""
-    return Listing(items, revision)
+    return Listing(items, Revision(era, revision))
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
@@ -6,12 +6,13 @@
 
 from result import Ok
 
-from harness.flow_fleet import FakeDirectorySource, MemoryLogWriter
+from harness.flow_fleet import FakeDirectorySource, MemoryLogWriter, later
 from harness.virtual_time import VirtualClock, run_in_virtual_time
-from pomelotrail_core.directory import CompletenessCheck, Directory
+from pomelotrail_core.counters import Counters
+from pomelotrail_core.directory import CompletenessCheck, Directory, Listing
 from pomelotrail_core.event_log import EventLog
 
-from .builders import configuration, listing
+from .builders import configuration
 
 
 class CountingSource(FakeDirectorySource):
@@ -62,9 +63,11 @@
         async def async_run() -> list[bool]:
             """Run all checks."""
             clock = VirtualClock()
-            directory = Directory(clock, EventLog("test", clock, MemoryLogWriter()))
-            revision = source.revision - behind
-            directory.replace(listing(configuration(1), revision=revision))
+            directory = Directory(
+                clock, EventLog("test", clock, MemoryLogWriter()), Counters()
+            )
+            revision = later(source.revision, -behind)
+            directory.replace(Listing((configuration(1),), revision))
             source.is_reachable = not is_cut
             check = CompletenessCheck(
                 source, directory, clock, self.refresh_requested.set
@@ -106,14 +109,16 @@
             """Change the revision while the first response is in flight."""
             clock = VirtualClock()
             source = SlowSource(0.1)
-            directory = Directory(clock, EventLog("test", clock, MemoryLogWriter()))
-            directory.replace(listing(configuration(1), revision=source.revision))
+            directory = Directory(
+                clock, EventLog("test", clock, MemoryLogWriter()), Counters()
+            )
+            directory.replace(Listing((configuration(1),), source.revision))
             check = CompletenessCheck(
                 source, directory, clock, self.refresh_requested.set
             )
             first = asyncio.create_task(check.async_is_complete(clock.monotonic()))
             await asyncio.sleep(0.08)
-            source.revision += 1
+            source.revision = later(source.revision)
             second = asyncio.create_task(check.async_is_complete(clock.monotonic()))
             return await first, await second
 
@@ -126,8 +131,10 @@
             """Check for an earlier time twice."""
             clock = VirtualClock()
             source = CountingSource()
-            directory = Directory(clock, EventLog("test", clock, MemoryLogWriter()))
-            directory.replace(listing(configuration(1), revision=source.revision))
+            directory = Directory(
+                clock, EventLog("test", clock, MemoryLogWriter()), Counters()
+            )
+            directory.replace(Listing((configuration(1),), source.revision))
             check = CompletenessCheck(
                 source, directory, clock, self.refresh_requested.set
             )
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
@@ -1,5 +1,6 @@
 """Tests of the known state of the directory."""
 
+import json
 import unittest
 from datetime import timedelta
 
@@ -8,9 +9,11 @@
 
 from harness.fake_clock import FakeClock
 from harness.flow_fleet import MemoryLogWriter
+from pomelotrail_core.counters import Counters
 from pomelotrail_core.directory import (
     Directory,
     RemovedItem,
+    Revision,
     ServerState,
     UnusableItem,
     ZoneItem,
@@ -29,7 +32,8 @@
         self.clock = FakeClock()
         self.lines = MemoryLogWriter()
         self.log = EventLog("test", self.clock, self.lines)
-        self.directory = Directory(self.clock, self.log)
+        self.counters = Counters()
+        self.directory = Directory(self.clock, self.log, self.counters)
 
     def identities(self) -> list[str]:
         """Return the identities of the candidates of the service."""
@@ -50,7 +54,7 @@
     @given(st.lists(st.integers(1, 20)))
     def test_version_is_the_highest_seen(self, versions: list[int]) -> None:
         """The version in force is the highest one, independent of their order."""
-        directory = Directory(self.clock, self.log)
+        directory = Directory(self.clock, self.log, self.counters)
         highest = 0
         for version in versions:
             directory.apply(listing(configuration(version)))
@@ -98,7 +102,7 @@
         self.directory.apply(listing(entry(), second))
         self.directory.record_source_failure("silent")
         self.directory.apply(listing(RemovedItem(identity="server-1")))
-        self.directory.record_source_reached()
+        self.directory.record_source_reached(Revision(number=10))
         self.directory.replace(listing())
         self.clock.jump(timedelta(seconds=1.9))
         self.assertEqual(len(self.identities()), 2)
@@ -156,7 +160,7 @@
         self.directory.apply(listing(leaving))
         self.directory.record_source_failure("silent")
         self.directory.apply(listing(RemovedItem(identity="server-1")))
-        self.directory.record_source_reached()
+        self.directory.record_source_reached(Revision(number=10))
         self.assertEqual(self.identities(), [])
 
     def test_reused_address(self) -> None:
@@ -206,3 +210,22 @@
         self.assertIn(b'"event":"configuration_in_force"', self.lines.content)
         self.assertIn(b'"event":"server_seen"', self.lines.content)
         self.assertEqual(self.lines.content.count(b'"version":5'), 2)
+
+    def test_lines_tell_the_era(self) -> None:
+        """A listing, an outage's end and each change have the era of their revision."""
+        self.directory.replace(listing(configuration(5), era=1))
+        self.directory.record_source_failure("cut")
+        self.directory.record_source_reached(Revision(2, 8))
+        self.directory.replace(listing(configuration(4), revision=8, era=2))
+        self.log.flush()
+        lines = [json.loads(line) for line in self.lines.content.splitlines()]
+        (back,) = [line for line in lines if line["event"] == "source_back"]
+        self.assertEqual((back["era"], back["source_era"]), (1, 2))
+        (ignored,) = [
+            line for line in lines if line["event"] == "configuration_ignored"
+        ]
+        self.assertEqual((ignored["ignored"], ignored["era"]), (4, 2))
+        listed = [line for line in lines if line["event"] == "listed"]
+        eras = [(line["era"], line["listed_era"]) for line in listed]
+        self.assertEqual(eras, [(0, 1), (1, 2)])
+        self.assertEqual(self.counters.value("store_restores"), 1)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_follower.py
@@ -11,11 +11,13 @@
 
 from harness.flow_fleet import MemoryLogWriter
 from harness.virtual_time import VirtualClock, run_in_virtual_time
+from pomelotrail_core.counters import Counters
 from pomelotrail_core.directory import (
     Directory,
     DirectoryFollower,
     DirectorySource,
     Listing,
+    Revision,
     SourceError,
     SourceProblem,
 )
@@ -45,20 +47,20 @@
         self._record("list")
         return self.listings.popleft() if len(self.listings) > 1 else self.listings[0]
 
-    async def async_revision(self, timeout: timedelta) -> Result[int, SourceError]:
+    async def async_revision(self, timeout: timedelta) -> Result[Revision, SourceError]:
         """Return the revision of the last listing."""
         self._record("revision")
         return Ok(self.listings[0].ok_value.revision)
 
     async def async_changes(
-        self, after: int, wait: timedelta, timeout: timedelta
+        self, after: Revision, wait: timedelta, timeout: timedelta
     ) -> Response:
         """Return the next changes."""
         self._record("watch")
         if self.changes:
             return self.changes.popleft()
         await asyncio.sleep(wait.total_seconds())
-        return Ok(listing(revision=after))
+        return Ok(Listing((), after))
 
     def _record(self, kind: str) -> None:
         """Record a call."""
@@ -71,7 +73,9 @@
     async def async_run() -> Directory:
         """Run the follower."""
         clock = VirtualClock()
-        directory = Directory(clock, EventLog("test", clock, MemoryLogWriter()))
+        directory = Directory(
+            clock, EventLog("test", clock, MemoryLogWriter()), Counters()
+        )
         follower = DirectoryFollower(source, directory, clock, random.Random(1))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
@@ -140,7 +144,9 @@
         async def async_run() -> int:
             """Request a refresh 10 ms after the first change."""
             clock = VirtualClock()
-            directory = Directory(clock, EventLog("test", clock, MemoryLogWriter()))
+            directory = Directory(
+                clock, EventLog("test", clock, MemoryLogWriter()), Counters()
+            )
             follower = DirectoryFollower(source, directory, clock, random.Random(1))
             following = asyncio.create_task(follower.async_follow())
             await asyncio.sleep(0.01)
--- a/packages/pomelotrail-core/pomelotrail_core/http_client.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_client.py
@@ -16,10 +16,11 @@
 
 
 class HttpResponse(msgspec.Struct):
-    """The status and body of a response."""
+    """The status, body and header fields of a response; field names in lower case."""
 
     status: int
     body: bytes
+    fields: dict[str, str]
 
 
 class HttpConnection:
@@ -64,7 +65,7 @@
                 raise HttpError("connection closed before the end of the response")
             response.feed(data)
         self._keeps_alive = response.keeps_alive
-        return HttpResponse(response.status, b"".join(response.parts))
+        return HttpResponse(response.status, b"".join(response.parts), response.fields)
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -77,6 +78,7 @@
     def __init__(self) -> None:
         """Initialize an empty response."""
         self.parts: list[bytes] = []
+        self.fields: dict[str, str] = {}
         self.status = 0
         self.is_complete = False
         self.keeps_alive = False
@@ -89,6 +91,10 @@
         except httptools.HttpParserError as error:
             raise HttpError(f"not an HTTP response: {error}") from error
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Record a header field."""
+        self.fields[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         self.parts.append(data)
--- a/stand_ins/platform_store/store.py
+++ b/stand_ins/platform_store/store.py
@@ -31,8 +31,25 @@
     delay_s: float = 0.0
 
 
+@attrs.define
+class StoreCopy:
+    """What a store can be restored from."""
+
+    items: dict[str, _StoredItem]
+    history: list[_StoredItem]
+    revision: int
+
+
 class PlatformStore:
-    """A store of items by key with one revision counter."""
+    """A store of items by key with one revision counter.
+
+    A restore from an older copy begins a new era, and revisions continue from those of
+    the copy::
+
+        copy = store.copy()
+        store.write("op/config", later_version)
+        store.restore(copy)
+    """
 
     def __init__(self, page_items: int = 500) -> None:
         """Initialize without items."""
@@ -42,6 +59,7 @@
         self._items: dict[str, _StoredItem] = {}
         self._history: list[_StoredItem] = []
         self._revision = 1
+        self._era: int | None = 1
         self._discarded_up_to = 0
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
@@ -71,6 +89,24 @@
         """Remove an item."""
         self._record_change(key, None)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore the store from later."""
+        return StoreCopy(dict(self._items), list(self._history), self._revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace all items by those of a copy and begin a new era."""
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._revision = copy.revision
+        if self._era is not None:
+            self._era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def report_no_era(self) -> None:
+        """Send no era, as stores without eras do."""
+        self._era = None
+
     def forget_history(self) -> None:
         """Discard the history that watches continue from."""
         self._discarded_up_to = self._revision
@@ -95,11 +131,17 @@
         if self.faults.is_silent:
             await asyncio.sleep(3600)
         if self.faults.status:
-            return web.Response(status=self.faults.status)
+            return self._add_era(web.Response(status=self.faults.status))
         if self.faults.body:
-            return web.Response(body=self.faults.body)
+            return self._add_era(web.Response(body=self.faults.body))
         return None
 
+    def _add_era(self, response: web.Response) -> web.Response:
+        """Add the era to a response."""
+        if self._era is not None:
+            response.headers["Store-Era"] = str(self._era)
+        return response
+
     async def _async_list(self, request: web.Request) -> web.Response:
         """Return one page of items."""
         if (faulty := await self._async_apply_faults(request)) is not None:
@@ -112,15 +154,15 @@
             "has_more": len(page) < len(keys),
             "at_rev": self._revision,
         }
-        return web.json_response(content)
+        return self._add_era(web.json_response(content))
 
     async def _async_watch(self, request: web.Request) -> web.Response:
         """Return the changes after a revision, waiting for the first one."""
         if (faulty := await self._async_apply_faults(request)) is not None:
             return faulty
         after = int(request.query["after"])
-        if after < self._discarded_up_to:
-            return web.Response(status=410)
+        if not self._discarded_up_to <= after <= self._revision:
+            return self._add_era(web.Response(status=410))
         events = [item for item in self._history if item.revision > after]
         if not events:
             wait_s = int(request.query["wait_ms"]) / 1000
@@ -132,7 +174,7 @@
                 pass
             events = [item for item in self._history if item.revision > after]
         content = {"events": [_encode_item(item) for item in events]}
-        return web.json_response({**content, "at_rev": self._revision})
+        return self._add_era(web.json_response({**content, "at_rev": self._revision}))
 
 
 def _encode_item(item: _StoredItem) -> dict[str, Any]:
