Directory: list again when the store has begun a new era

Cause: the follower continues its watch after the number of the last change that it read, although a store that was restored from a copy gives out numbers again. Once the store has counted up to that number, the watch is accepted, and what was written under the repeated numbers is never sent. A watch with nothing to report also waits 4 s, so the first answer after the return came that late (source_back at 21.3 to 21.8 s for a return at 17.0 s).

An answer of another era now ends the watch, and everything is listed. The first watch after a failure has no wait, so its answer tells the era at once.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
@@ -20,6 +20,7 @@
 )
 from .directory import Directory
 from .errors import SourceError, SourceProblem
+from .messages import Listing
 from .revision import Revision
 from .source import DirectorySource
 
@@ -64,12 +65,22 @@
                     await self._async_back_off(error)
 
     async def _async_watch(self) -> None:
-        """Apply changes until the source has lost the history that is needed."""
+        """Apply changes until the source lacks the history that is needed.
+
+        Revisions of different eras are positions in different histories, so the changes
+        between them are unknown.
+        """
         while True:
+            # After a failure the source may be in a new era. An answer without a wait
+            # tells, even if there is nothing to report.
+            wait = timedelta() if self._failures else WATCH_WAIT
             changes = await self._source.async_changes(
-                self._directory.revision, WATCH_WAIT, WATCH_WAIT + WATCH_TIMEOUT_MARGIN
+                self._directory.revision, wait, wait + WATCH_TIMEOUT_MARGIN
             )
             match changes:
+                case Ok(listing) if self._is_restored(listing):
+                    self._record_success(listing.revision)
+                    return
                 case Ok(listing):
                     self._record_success(listing.revision)
                     self._directory.apply(listing)
@@ -80,6 +91,10 @@
                 case Err(error):
                     await self._async_back_off(error)
 
+    def _is_restored(self, listing: Listing) -> bool:
+        """Return whether the source began a new era since it was last read."""
+        return listing.revision.era != self._directory.revision.era
+
     async def _async_wait_for_batch(self) -> None:
         """Wait for further changes to batch, unless a refresh is requested."""
         self._refresh_requested.clear()
