Directory: a check of another era doesn't show that all entries are known

What callers would see: an open flow is reset although its server lives (FLOW).

Cause: the completeness check has a connection of its own and compared the number of its answer with that of the directory. After a restore the store may be at number 15 while the directory holds number 20 of the lost history: taken for complete, though the directory lacks a server that registered since. An answer from before a restore also vouched for a directory that has listed the copy since.

The check now asks for the same era. test_restore_that_only_the_check_has_seen and test_response_from_before_a_restore failed before (True, and one call instead of two).

--- a/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
@@ -66,7 +66,15 @@
     def _is_known(self, since: timedelta) -> bool:
         """Return whether an earlier response covers a time."""
         is_covered = self._covered_until is not None and self._covered_until >= since
-        return is_covered and self._directory.revision.number >= self._revision.number
+        return is_covered and self._has_read(self._revision)
+
+    def _has_read(self, revision: Revision) -> bool:
+        """Return whether the directory has the changes up to a revision.
+
+        After a restore, a directory of one era says nothing about another era.
+        """
+        known = self._directory.revision
+        return known.era == revision.era and known >= revision
 
     async def _async_check(self) -> bool:
         """Query the revision of the source, at most once per cooldown."""
@@ -86,11 +94,9 @@
     async def _async_wait_for_revision(self, revision: Revision) -> bool:
         """Wait until changes in flight have been applied, up to the timeout."""
         waited = timedelta()
-        if self._directory.revision.number < revision.number:
+        if not self._has_read(revision):
             self._request_refresh()
-        while (
-            self._directory.revision.number < revision.number and waited < CHECK_TIMEOUT
-        ):
+        while not self._has_read(revision) and waited < CHECK_TIMEOUT:
             await self._clock.async_sleep(CHECK_INTERVAL)
             waited += CHECK_INTERVAL
-        return self._directory.revision.number >= revision.number
+        return self._has_read(revision)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
@@ -3,17 +3,21 @@
 import asyncio
 import unittest
 from datetime import timedelta
+from typing import Final
 
 from result import Ok
 
 from harness.flow_fleet import FakeDirectorySource, MemoryLogWriter, later
 from harness.virtual_time import VirtualClock, run_in_virtual_time
 from pomelotrail_core.counters import Counters
-from pomelotrail_core.directory import CompletenessCheck, Directory, Listing
+from pomelotrail_core.directory import CompletenessCheck, Directory, Listing, Revision
 from pomelotrail_core.event_log import EventLog
 
 from .builders import configuration
 
+# Longer than entries are kept that are missing after an outage or a restore.
+GRACE_SECONDS: Final = 3
+
 
 class CountingSource(FakeDirectorySource):
     """Records the time of each revision query."""
@@ -44,6 +48,11 @@
         return Ok(revision)
 
 
+def make_directory(clock: VirtualClock) -> Directory:
+    """Return an empty directory."""
+    return Directory(clock, EventLog("test", clock, MemoryLogWriter()), Counters())
+
+
 class CompletenessCheckTest(unittest.TestCase):
     """Results of checks and the calls that they make."""
 
@@ -63,9 +72,7 @@
         async def async_run() -> list[bool]:
             """Run all checks."""
             clock = VirtualClock()
-            directory = Directory(
-                clock, EventLog("test", clock, MemoryLogWriter()), Counters()
-            )
+            directory = make_directory(clock)
             revision = later(source.revision, -behind)
             directory.replace(Listing((configuration(1),), revision))
             source.is_reachable = not is_cut
@@ -109,9 +116,7 @@
             """Change the revision while the first response is in flight."""
             clock = VirtualClock()
             source = SlowSource(0.1)
-            directory = Directory(
-                clock, EventLog("test", clock, MemoryLogWriter()), Counters()
-            )
+            directory = make_directory(clock)
             directory.replace(Listing((configuration(1),), source.revision))
             check = CompletenessCheck(
                 source, directory, clock, self.refresh_requested.set
@@ -124,6 +129,50 @@
 
         self.assertEqual(run_in_virtual_time(async_run()), (True, False))
 
+    def test_restore_that_only_the_check_has_seen(self) -> None:
+        """A directory of an earlier era is incomplete, also at a higher number.
+
+        A server that registered after the restore would be missing, and its flows would
+        be reset.
+        """
+
+        async def async_run() -> bool:
+            """Check a directory that has read changes that the restore lost."""
+            clock = VirtualClock()
+            source = CountingSource()
+            directory = make_directory(clock)
+            directory.replace(Listing((configuration(1),), source.revision))
+            source.revision = Revision(source.revision.era + 1, 15)
+            check = CompletenessCheck(
+                source, directory, clock, self.refresh_requested.set
+            )
+            return await check.async_is_complete(clock.monotonic())
+
+        self.assertFalse(run_in_virtual_time(async_run()))
+        self.assertTrue(self.refresh_requested.is_set())
+
+    def test_response_from_before_a_restore(self) -> None:
+        """It says nothing about a directory that has read the restored source since."""
+
+        async def async_run() -> int:
+            """Check before and after the directory reads the restored source."""
+            clock = VirtualClock()
+            source = CountingSource()
+            directory = make_directory(clock)
+            directory.replace(Listing((configuration(1),), source.revision))
+            check = CompletenessCheck(
+                source, directory, clock, self.refresh_requested.set
+            )
+            started = clock.monotonic()
+            await check.async_is_complete(started)
+            source.revision = Revision(source.revision.era + 1, 200)
+            directory.replace(Listing((configuration(1),), source.revision))
+            await asyncio.sleep(GRACE_SECONDS)
+            await check.async_is_complete(started)
+            return len(source.calls)
+
+        self.assertEqual(run_in_virtual_time(async_run()), 2)
+
     def test_response_covers_earlier_times(self) -> None:
         """A check for a time before the last call reuses its response."""
 
@@ -131,9 +180,7 @@
             """Check for an earlier time twice."""
             clock = VirtualClock()
             source = CountingSource()
-            directory = Directory(
-                clock, EventLog("test", clock, MemoryLogWriter()), Counters()
-            )
+            directory = make_directory(clock)
             directory.replace(Listing((configuration(1),), source.revision))
             check = CompletenessCheck(
                 source, directory, clock, self.refresh_requested.set
