Directory: order entries of different eras by what the servers say of themselves

What callers would see: new flows go to a server that announced its end or has left (DRAIN, or tries that end unanswered), to an earlier server of a reused address (ROUTE), and fewer flows to servers that are warm.

Cause: an entry with a later revision was taken for the later entry. After a restore the copy's entries are older than those that were lost, whether one compares numbers or eras: by number, a server's announcement after the restore is lower than the entry from the lost part and is ignored; by era, the copy's state overrides what was confirmed since.

Within an era revisions decide as before. Across eras the start time decides, and for one run of a server its count of writes. What the copy doesn't supersede stays as known. A server whose removal was read before gets no flow until its entry has outlasted the time in which entries of silent servers expire (from the settings' check-in interval); it still counts as a possible owner.

Failed before: test_server_that_announced_its_end_before_a_restore, test_server_that_left_before_a_restore, test_address_taken_over_before_a_restore, test_warm_server_stays_warm_after_a_restore. test_announcement_just_after_a_restore fails when revisions are compared by number.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -56,6 +56,7 @@
 SERVICE_ADDRESS: Final = ("198.51.100.1", 443)
 ROUTE_TIMEOUT: Final = timedelta(seconds=4)
 FIRST_REVISION: Final = Revision(number=100)
+ENTRY_LIFETIME: Final = timedelta(seconds=3.6)
 CALLERS_HOST: Final = "203.0.113.9"
 
 
@@ -152,7 +153,7 @@
 
         Unless ``is_listed``, its directory is empty until ``directory().replace``.
         """
-        directory = Directory(self.clock, self.log, self.counters)
+        directory = Directory(self.clock, self.log, self.counters, ENTRY_LIFETIME)
         if is_listed:
             directory.replace(self.listing())
         check = CompletenessCheck(
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -3,6 +3,8 @@
 import asyncio
 from datetime import timedelta
 
+import msgspec
+
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.endpoint import Endpoint
@@ -42,11 +44,22 @@
     once. Flows may still be looked up on a removed server.
     """
 
-    def __init__(self, clock: Clock, log: EventLog, counters: Counters) -> None:
-        """Initialize an empty directory."""
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        counters: Counters,
+        entry_lifetime: timedelta,
+    ) -> None:
+        """Initialize an empty directory.
+
+        ``entry_lifetime`` is the time after which the store removes the entry of a
+        silent server.
+        """
         self._clock = clock
         self._log = log
         self._counters = counters
+        self._entry_lifetime = entry_lifetime
         self._known: dict[str, KnownServer] = {}
         self._former: dict[str, KnownServer] = {}
         self._zones_out: set[str] = set()
@@ -119,10 +132,12 @@
     def candidates(self, service: str) -> list[BackendServer]:
         """Return the backend servers that may accept new flows of a service."""
         self._remove_expired()
+        now = self._clock.monotonic()
         return [
             known.server
             for known in self._known.values()
             if known.server.service == service
+            and known.unconfirmed_until <= now
             and known.server.state is ServerState.READY
             and known.server.zone not in self._zones_out
         ]
@@ -265,8 +280,8 @@
     def _record_server(self, server: BackendServer) -> None:
         """Record the entry of a backend server unless it is outdated."""
         known = self._known.get(server.identity)
-        if known is not None and known.server.revision == server.revision:
-            known.grace_ends = None
+        if known is not None and not server.supersedes(known.server):
+            self._keep_known(known, server)
             return
         if self._is_outdated(server):
             self._log.write(
@@ -278,9 +293,13 @@
                 **self.log_fields,
             )
             return
+        former = self._former.pop(server.identity, None)
+        is_confirmed = former is None or server.supersedes(former.server)
         self._remove_reused_address(server)
-        self._known[server.identity] = KnownServer(server, self._clock.monotonic())
-        self._former.pop(server.identity, None)
+        now = self._clock.monotonic()
+        known = self._known[server.identity] = KnownServer(server, now)
+        if not is_confirmed:
+            known.unconfirmed_until = now + self._entry_lifetime
         self._record_change(
             "server_seen",
             server=server.identity,
@@ -289,8 +308,20 @@
             state=server.state.value,
             cold_ms=int(server.cold_for.total_seconds() * 1000),
             slots=server.slots,
+            confirmed=is_confirmed,
         )
 
+    def _keep_known(self, known: KnownServer, listed: BackendServer) -> None:
+        """Keep what is known of a server whose listed entry is not later.
+
+        Further changes are compared with the revision at which the store has the entry.
+        """
+        known.grace_ends = None
+        if listed.revision.era > known.server.revision.era:
+            known.server = msgspec.structs.replace(
+                known.server, revision=listed.revision
+            )
+
     def _is_outdated(self, server: BackendServer) -> bool:
         """Return whether a later entry has the same address.
 
@@ -298,7 +329,7 @@
         successor.
         """
         return any(
-            self._known[identity].server.revision > server.revision
+            self._known[identity].server.supersedes(server)
             for identity in self._identities_at(server.endpoint, self._known)
         )
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/known_server.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/known_server.py
@@ -11,12 +11,14 @@
     """A backend server with the time at which its entry was read or removed.
 
     ``grace_ends`` is when the grace period of a missing entry ends; None while the
-    entry is present.
+    entry is present. ``unconfirmed_until`` is set for an entry that a restored store
+    lists although its removal was read before: the server gets no new flows until then.
     """
 
     server: BackendServer
     recorded_at: timedelta
     grace_ends: timedelta | None = None
+    unconfirmed_until: timedelta = timedelta()
 
     @property
     def is_ready(self) -> bool:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
@@ -24,7 +24,8 @@
     ``slots`` is the number of requests that it processes concurrently; more are queued.
     ``cold_for`` is the remaining warm-up time when the entry was written.
     ``started_ms`` is its start time in milliseconds since 1970 by the clock of its VM,
-    or 0 if the entry has none.
+    or 0 if the entry has none. ``sequence`` counts what the server has written since
+    its start.
     """
 
     identity: str
@@ -36,6 +37,23 @@
     cold_for: timedelta
     revision: Revision = Revision()
     started_ms: int = 0
+    sequence: int = 0
+
+    def supersedes(self, other: "BackendServer") -> bool:
+        """Return whether this entry is later than one of the same server or address.
+
+        Revisions tell within an era of the store. An entry read in another era may come
+        from an older copy although its era is later, so what the servers say of
+        themselves tells.
+        """
+        if self.revision.era == other.revision.era:
+            return self.revision > other.revision
+        has_starts = bool(self.started_ms and other.started_ms)
+        if has_starts and self.started_ms != other.started_ms:
+            return self.started_ms > other.started_ms
+        if has_starts and self.identity == other.identity:
+            return self.sequence > other.sequence
+        return self.revision > other.revision
 
 
 class ServiceShare(msgspec.Struct, frozen=True):
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/builders.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/builders.py
@@ -1,7 +1,7 @@
 """Builders of directory entries."""
 
 from datetime import timedelta
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 
@@ -18,6 +18,8 @@
 )
 from pomelotrail_core.endpoint import Endpoint
 
+ENTRY_LIFETIME: Final = timedelta(seconds=3.6)
+
 _SERVER = BackendServer(
     identity="server-1",
     service="ledger",
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
@@ -13,7 +13,7 @@
 from pomelotrail_core.directory import CompletenessCheck, Directory, Listing, Revision
 from pomelotrail_core.event_log import EventLog
 
-from .builders import configuration
+from .builders import ENTRY_LIFETIME, configuration
 
 # Longer than entries are kept that are missing after an outage or a restore.
 GRACE_SECONDS: Final = 3
@@ -50,7 +50,9 @@
 
 def make_directory(clock: VirtualClock) -> Directory:
     """Return an empty directory."""
-    return Directory(clock, EventLog("test", clock, MemoryLogWriter()), Counters())
+    return Directory(
+        clock, EventLog("test", clock, MemoryLogWriter()), Counters(), ENTRY_LIFETIME
+    )
 
 
 class CompletenessCheckTest(unittest.TestCase):
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_follower.py
@@ -23,7 +23,7 @@
 )
 from pomelotrail_core.event_log import EventLog
 
-from .builders import configuration, listing
+from .builders import ENTRY_LIFETIME, configuration, listing
 
 Response = Result[Listing, SourceError]
 
@@ -74,7 +74,10 @@
         """Run the follower."""
         clock = VirtualClock()
         directory = Directory(
-            clock, EventLog("test", clock, MemoryLogWriter()), Counters()
+            clock,
+            EventLog("test", clock, MemoryLogWriter()),
+            Counters(),
+            ENTRY_LIFETIME,
         )
         follower = DirectoryFollower(source, directory, clock, random.Random(1))
         with contextlib.suppress(TimeoutError):
@@ -145,7 +148,10 @@
             """Request a refresh 10 ms after the first change."""
             clock = VirtualClock()
             directory = Directory(
-                clock, EventLog("test", clock, MemoryLogWriter()), Counters()
+                clock,
+                EventLog("test", clock, MemoryLogWriter()),
+                Counters(),
+                ENTRY_LIFETIME,
             )
             follower = DirectoryFollower(source, directory, clock, random.Random(1))
             following = asyncio.create_task(follower.async_follow())
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -4,20 +4,28 @@
 import random
 import unittest
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from typing import Final
 
 from harness.flow_fleet import MemoryLogWriter
 from harness.virtual_time import VirtualClock, run_in_virtual_time
 from pomelotrail_core.counters import Counters
-from pomelotrail_core.directory import Directory, DirectoryFollower
+from pomelotrail_core.directory import (
+    Directory,
+    DirectoryFollower,
+    RemovedItem,
+    ServerState,
+)
 from pomelotrail_core.event_log import EventLog
 
-from .builders import configuration
+from .builders import ENTRY_LIFETIME, configuration, entry
 from .memory_source import MemorySource, SourceCopy
 
 # Operators' limit on the time from the confirmation of a change until it is in force.
 APPLY_SECONDS: Final = 3.0
 OUTAGE_SECONDS: Final = 2.0
+COLD_FLOWS_PER_S: Final = 8.0
+STARTED_MS: Final = 1_780_000_000_000
 
 
 class FollowedSource:
@@ -26,15 +34,25 @@
     def __init__(self) -> None:
         """Start to follow a source with a configuration."""
         clock = VirtualClock()
-        self.source = MemorySource(configuration(4))
+        self.source = MemorySource(configuration(4, COLD_FLOWS_PER_S))
         self.counters = Counters()
         log = EventLog("test", clock, MemoryLogWriter())
-        self.directory = Directory(clock, log, self.counters)
+        self.directory = Directory(clock, log, self.counters, ENTRY_LIFETIME)
         follower = DirectoryFollower(
             self.source, self.directory, clock, random.Random(1)
         )
         self._following = asyncio.create_task(follower.async_follow())
 
+    @property
+    def candidates(self) -> list[str]:
+        """Return the identities of the servers that may get new flows."""
+        return [each.identity for each in self.directory.candidates("ledger")]
+
+    @property
+    def possible_owners(self) -> list[str]:
+        """Return the identities of the servers that may own flows."""
+        return [each.identity for each in self.directory.possible_owners()]
+
     async def async_restore(
         self, copy: SourceCopy, outage_s: float = OUTAGE_SECONDS
     ) -> None:
@@ -81,3 +99,95 @@
             self.assertEqual(followed.directory.version, 16)
 
         run_followed(async_test)
+
+    def test_server_that_announced_its_end_before_a_restore(self) -> None:
+        """It gets no new flow, although the copy has it as ready."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose the announcement, until the server writes it again."""
+            followed.source.write(entry(started_ms=STARTED_MS, sequence=3))
+            copy = followed.source.copy()
+            leaving = entry(
+                started_ms=STARTED_MS, sequence=7, state=ServerState.LEAVING
+            )
+            followed.source.write(leaving)
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(1)
+            self.assertEqual(followed.candidates, [])
+            followed.source.write(leaving)
+            await asyncio.sleep(1)
+            self.assertEqual(followed.candidates, [])
+
+        run_followed(async_test)
+
+    def test_announcement_just_after_a_restore(self) -> None:
+        """A server's later entry is applied, although its number is lower."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Announce the end of a server that other changes preceded."""
+            copy = followed.source.copy()
+            for sequence in (3, 4, 5):
+                followed.source.write(entry(started_ms=STARTED_MS, sequence=sequence))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(1)
+            self.assertEqual(followed.candidates, ["server-1"])
+            followed.source.write(
+                entry(started_ms=STARTED_MS, sequence=6, state=ServerState.LEAVING)
+            )
+            await asyncio.sleep(1)
+            self.assertEqual(followed.candidates, [])
+
+        run_followed(async_test)
+
+    def test_server_that_left_before_a_restore(self) -> None:
+        """It gets new flows only if its entry outlasts the time in which it expires."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose the removal of a server's entry."""
+            followed.source.write(entry(started_ms=STARTED_MS, sequence=3))
+            copy = followed.source.copy()
+            followed.source.write(RemovedItem(identity="server-1"))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(2)
+            self.assertEqual(followed.candidates, [])
+            self.assertEqual(followed.possible_owners, ["server-1"])
+            await asyncio.sleep(ENTRY_LIFETIME.total_seconds())
+            self.assertEqual(followed.candidates, ["server-1"])
+
+        run_followed(async_test)
+
+    def test_address_taken_over_before_a_restore(self) -> None:
+        """The later server keeps the address that the copy gives to the earlier one."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose the entry of the second server at an address."""
+            followed.source.write(entry(started_ms=STARTED_MS))
+            copy = followed.source.copy()
+            followed.source.write(
+                entry(identity="server-2", started_ms=STARTED_MS + 5_000)
+            )
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(1)
+            self.assertEqual(followed.candidates, ["server-2"])
+
+        run_followed(async_test)
+
+    def test_warm_server_stays_warm_after_a_restore(self) -> None:
+        """An entry that was known already doesn't start its warm-up again."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Restore a copy that has the entry of a server that is warm by now."""
+            followed.source.write(
+                entry(started_ms=STARTED_MS, cold_for=timedelta(seconds=2))
+            )
+            await asyncio.sleep(3)
+            await followed.async_restore(followed.source.copy())
+            await asyncio.sleep(1)
+            (server,) = followed.directory.candidates("ledger")
+            self.assertIsNone(followed.directory.cold_flows_per_s(server))
+
+        run_followed(async_test)
