Directory: entries that a restored copy lacks may be written again

What callers would see: an open flow is reset although its server lives (FLOW).

Cause: a listing without an entry was taken as the entry's removal, or as an outage's lapse where the store had been noticed to be away. A server that was leaving lost its entry at once, and two seconds later its flows were taken as ended, while its entry waited to be read. A server that only the lost part had was in no listing that this directory read, and lookups took the listing as complete.

The first listing of a new era is now recorded as a restore (source_restored): all missing entries are kept for the time in which entries are written again, and for that long the directory may lack entries, so nothing is reset for want of an owner.

test_leaving_server_that_the_copy_lacks and test_server_that_only_the_lost_part_had failed before (a confirmed removal; a directory that vouched for its listing).

--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -105,10 +105,16 @@
         """Return whether entries may be missing that this directory never read.
 
         A process that starts during an outage, or just after one, lists the store
-        before the entries of all running servers have been written again.
+        before the entries of all running servers have been written again. So does one
+        that lists a restored store.
         """
         return self._clock.monotonic() < self._incomplete_until
 
+    @property
+    def incomplete_until(self) -> timedelta:
+        """Return the end of the time in which entries may be missing."""
+        return self._incomplete_until
+
     @property
     def generation(self) -> int:
         """Return a number that increases with every change of the known state."""
@@ -184,6 +190,9 @@
         """Apply a full listing; entries that are not in it are missing."""
         self._record_first_listing()
         self._log_listing(listing)
+        is_restored = self._is_restored(listing.revision)
+        if is_restored:
+            self._record_restore(listing.revision)
         listed = {
             item.server.identity
             for item in listing.items
@@ -192,7 +201,7 @@
         missing = [known for known in self._known if known not in listed]
         self._infer_outage(missing)
         for identity in missing:
-            self._handle_missing(identity)
+            self._handle_missing(identity, is_restored)
         zones = {item.zone for item in listing.items if isinstance(item, ZoneItem)}
         for zone in self._zones_out - zones:
             self._restore_zone(zone)
@@ -200,7 +209,8 @@
 
     def apply(self, listing: Listing) -> None:
         """Apply changes in order."""
-        self._record_revision(listing.revision)
+        self._revision = listing.revision
+        self._counters.set_gauge("store_era", listing.revision.era)
         removed = [entry for entry in listing.items if isinstance(entry, RemovedItem)]
         self._infer_outage([entry.identity for entry in removed])
         for item in listing.items:
@@ -212,7 +222,7 @@
                 case ZoneItem(zone):
                     self._take_out_zone(zone)
                 case RemovedItem(identity, zone):
-                    self._handle_missing(identity)
+                    self._handle_missing(identity, is_restored=False)
                     self._restore_zone(zone)
                 case UnusableItem():
                     self._reject(item)
@@ -266,6 +276,27 @@
                 self._first_listed + self.missing_entry_grace_remaining
             )
 
+    def _is_restored(self, revision: Revision) -> bool:
+        """Return whether the store began a new era since it was last read."""
+        return self._revision != Revision() and revision.era != self._revision.era
+
+    def _record_restore(self, revision: Revision) -> None:
+        """Record a restore: what was written since the copy may be missing.
+
+        Servers write their entries again as they do after an outage, among them
+        servers whose entries this directory never read.
+        """
+        self._counters.add("store_restores")
+        self._outage.end()
+        self._log.write(
+            _PART,
+            "source_restored",
+            source_era=revision.era,
+            source_revision=revision.number,
+            **self.log_fields,
+        )
+        self._mark_incomplete(self._outage.grace_end)
+
     def _mark_incomplete(self, until: timedelta) -> None:
         """Treat the known entries as incomplete until the given time."""
         self._incomplete_until = until
@@ -352,13 +383,18 @@
             if known.server.endpoint == endpoint
         ]
 
-    def _handle_missing(self, identity: str) -> None:
-        """Remove a missing entry, or start its grace period in or after an outage."""
+    def _handle_missing(self, identity: str, is_restored: bool) -> None:
+        """Remove a missing entry, or start its grace period in or after an outage.
+
+        A server that is leaving doesn't write its entry again after an outage, unless
+        the store was restored from a copy that lacks the entry.
+        """
         known = self._known.get(identity)
         if known is None or known.grace_ends is not None:
             return
         is_leaving = known.server.state is ServerState.LEAVING
-        if is_leaving or not self._outage.may_explain_missing_entry:
+        has_left = is_leaving and not is_restored
+        if has_left or not self._outage.may_explain_missing_entry:
             self._remove(identity, "entry_removed")
             return
         known.grace_ends = self._outage.grace_end
@@ -454,13 +490,6 @@
         self._generation += 1
         self._log.write(_PART, event, **fields, **self.log_fields)
 
-    def _record_revision(self, revision: Revision) -> None:
-        """Record the revision of an answer; count a restore if its era is new."""
-        if self._revision != Revision() and revision.era > self._revision.era:
-            self._counters.add("store_restores")
-        self._revision = revision
-        self._counters.set_gauge("store_era", revision.era)
-
     def _log_listing(self, listing: Listing) -> None:
         """Log what a listing contains and what was known before it."""
         items = listing.items
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -24,6 +24,8 @@
 # Operators' limit on the time from the confirmation of a change until it is in force.
 APPLY_SECONDS: Final = 3.0
 OUTAGE_SECONDS: Final = 2.0
+# What the restored source lacks is written again within this time, or gone.
+REWRITE_SECONDS: Final = 2.0
 COLD_FLOWS_PER_S: Final = 8.0
 STARTED_MS: Final = 1_780_000_000_000
 
@@ -159,6 +161,43 @@
 
         run_followed(async_test)
 
+    def test_leaving_server_that_the_copy_lacks(self) -> None:
+        """Its flows keep their owner until the server has written its entry again."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose the registration and the announced end of a server."""
+            copy = followed.source.copy()
+            leaving = entry(
+                started_ms=STARTED_MS, sequence=7, state=ServerState.LEAVING
+            )
+            followed.source.write(leaving)
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(REWRITE_SECONDS - 0.2)
+            # The entry waits at the source while the follower batches changes.
+            followed.source.write(configuration(5))
+            await asyncio.sleep(0.1)
+            followed.source.write(leaving)
+            await asyncio.sleep(0.5)
+            self.assertEqual(followed.directory.confirmed_removals(), [])
+            await asyncio.sleep(1)
+            self.assertEqual(followed.possible_owners, ["server-1"])
+
+        run_followed(async_test)
+
+    def test_server_that_only_the_lost_part_had(self) -> None:
+        """The directory may lack it until it has written its entry again."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose a registration that the directory has not read."""
+            await followed.async_restore(followed.source.copy())
+            await asyncio.sleep(1)
+            self.assertTrue(followed.directory.may_lack_entries)
+            await asyncio.sleep(REWRITE_SECONDS)
+            self.assertFalse(followed.directory.may_lack_entries)
+
+        run_followed(async_test)
+
     def test_address_taken_over_before_a_restore(self) -> None:
         """The later server keeps the address that the copy gives to the earlier one."""
 
