Directory: zones keep their state where a restored copy contradicts it

What callers would see: new flows in a zone that operators have evacuated (EVAC), or no flows in a zone that they have taken back, until the operators' word is written again.

Cause: a listing without an evacuation was taken for its end, and a listing with one for its begin, although the listing was that of an older copy.

Where the first listing of a new era contradicts what was confirmed, the zone stays as it was until the operators write again, or until entries that are written again in time have been read. An evacuation of the copy is recognised by its revision number, which was read as ended before; one written after the restore applies at once. Zones out of service have a class of their own, since they have three states now.

test_evacuation_that_the_copy_lacks and test_ended_evacuation_that_the_copy_still_has failed before.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -1,6 +1,7 @@
 """The known state of backend servers, routes and availability zones."""
 
 import asyncio
+from collections.abc import Sequence
 from datetime import timedelta
 
 import msgspec
@@ -11,6 +12,7 @@
 from pomelotrail_core.event_log import EventLog
 
 from .const import (
+    CHANGE_BATCH_WINDOW,
     FORMER_SERVER_RETENTION,
     MISSING_ENTRY_GRACE,
     OUTAGE_LOST_SHARE,
@@ -20,6 +22,7 @@
 from .messages import (
     BackendServer,
     ConfigurationItem,
+    DirectoryItem,
     Listing,
     PublishedConfiguration,
     RemovedItem,
@@ -31,6 +34,7 @@
 )
 from .revision import Revision
 from .source_outage import SourceOutage
+from .zones_out import ZonesOut
 
 _PART = "directory"
 
@@ -62,7 +66,7 @@
         self._entry_lifetime = entry_lifetime
         self._known: dict[str, KnownServer] = {}
         self._former: dict[str, KnownServer] = {}
-        self._zones_out: set[str] = set()
+        self._zones_out = ZonesOut()
         self._configuration: PublishedConfiguration | None = None
         self._revision = Revision()
         self._outage = SourceOutage(clock)
@@ -123,7 +127,8 @@
     @property
     def zones_out(self) -> frozenset[str]:
         """Return the availability zones that are out of service."""
-        return frozenset(self._zones_out)
+        self._apply_overdue_zones()
+        return self._zones_out.names
 
     async def async_wait_until_usable(self) -> None:
         """Wait until a configuration is in force."""
@@ -139,13 +144,14 @@
         """Return the backend servers that may accept new flows of a service."""
         self._remove_expired()
         now = self._clock.monotonic()
+        zones_out = self.zones_out
         return [
             known.server
             for known in self._known.values()
             if known.server.service == service
             and known.unconfirmed_until <= now
             and known.server.state is ServerState.READY
-            and known.server.zone not in self._zones_out
+            and known.server.zone not in zones_out
         ]
 
     def possible_owners(self) -> list[BackendServer]:
@@ -202,25 +208,30 @@
         self._infer_outage(missing)
         for identity in missing:
             self._handle_missing(identity, is_restored)
-        zones = {item.zone for item in listing.items if isinstance(item, ZoneItem)}
-        for zone in self._zones_out - zones:
-            self._restore_zone(zone)
-        self.apply(listing)
+        self._replace_zones(listing, is_restored)
+        self._apply_items(
+            [item for item in listing.items if not isinstance(item, ZoneItem)],
+            listing.revision,
+        )
 
     def apply(self, listing: Listing) -> None:
         """Apply changes in order."""
-        self._revision = listing.revision
-        self._counters.set_gauge("store_era", listing.revision.era)
-        removed = [entry for entry in listing.items if isinstance(entry, RemovedItem)]
+        self._apply_items(listing.items, listing.revision)
+
+    def _apply_items(self, items: Sequence[DirectoryItem], revision: Revision) -> None:
+        """Apply items that were read up to a revision."""
+        self._revision = revision
+        self._counters.set_gauge("store_era", revision.era)
+        removed = [entry for entry in items if isinstance(entry, RemovedItem)]
         self._infer_outage([entry.identity for entry in removed])
-        for item in listing.items:
+        for item in items:
             match item:
                 case ServerItem(server):
                     self._record_server(server)
                 case ConfigurationItem(configuration):
                     self._adopt(configuration)
-                case ZoneItem(zone):
-                    self._take_out_zone(zone)
+                case ZoneItem(zone, zone_revision):
+                    self._take_out_zone(zone, zone_revision)
                 case RemovedItem(identity, zone):
                     self._handle_missing(identity, is_restored=False)
                     self._restore_zone(zone)
@@ -465,19 +476,49 @@
         self._usable.set()
         self._record_change("configuration_in_force", routes=len(configuration.routes))
 
-    def _take_out_zone(self, zone: str) -> None:
+    def _take_out_zone(self, zone: str, revision: Revision) -> None:
         """Exclude a zone from new flows."""
-        if zone in self._zones_out:
-            return
-        self._zones_out.add(zone)
-        self._record_change("zone_out", zone=zone)
+        if self._zones_out.add(zone, revision):
+            self._record_change("zone_out", zone=zone)
 
     def _restore_zone(self, zone: str) -> None:
         """Allow new flows to a zone again."""
-        if zone not in self._zones_out:
-            return
-        self._zones_out.remove(zone)
-        self._record_change("zone_back", zone=zone)
+        if self._zones_out.remove(zone):
+            self._record_change("zone_back", zone=zone)
+
+    def _replace_zones(self, listing: Listing, is_restored: bool) -> None:
+        """Apply the zones of a full listing, unless a restore contradicts them."""
+        listed = {
+            item.zone: item.revision
+            for item in listing.items
+            if isinstance(item, ZoneItem)
+        }
+        self._zones_out.forget_settled(listed)
+        if is_restored:
+            # An entry that is written again in time may still wait to be read.
+            deadline = self._outage.grace_end + CHANGE_BATCH_WINDOW
+            self._zones_out.reconcile(listed, deadline)
+        for zone in sorted(self._zones_out.names | listed.keys()):
+            if self._zones_out.is_contested(zone):
+                self._log.write(
+                    _PART,
+                    "zone_contested",
+                    zone=zone,
+                    is_out=zone in self._zones_out.names,
+                    **self.log_fields,
+                )
+            elif zone in listed:
+                self._take_out_zone(zone, listed[zone])
+            else:
+                self._restore_zone(zone)
+
+    def _apply_overdue_zones(self) -> None:
+        """Apply what a restored store says of zones, as nothing else was written."""
+        for zone, revision in self._zones_out.pop_overdue(self._clock.monotonic()):
+            if revision is None:
+                self._restore_zone(zone)
+            else:
+                self._take_out_zone(zone, revision)
 
     def _reject(self, item: UnusableItem) -> None:
         """Log an entry that can't be parsed and remove the one that it replaces."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
@@ -110,6 +110,7 @@
     """An availability zone was taken out of service."""
 
     zone: str
+    revision: Revision = Revision()
 
 
 class UnusableItem(msgspec.Struct, frozen=True):
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
@@ -123,10 +123,13 @@
 
     def _stamp(self, number: int, item: DirectoryItem) -> DirectoryItem:
         """Return an item as read in the current era."""
-        if not isinstance(item, ServerItem):
-            return item
         revision = Revision(self._era, number)
-        return ServerItem(msgspec.structs.replace(item.server, revision=revision))
+        match item:
+            case ServerItem(server):
+                return ServerItem(msgspec.structs.replace(server, revision=revision))
+            case ZoneItem(zone):
+                return ZoneItem(zone, revision)
+        return item
 
     def _notify(self) -> None:
         """End the wait of all watches."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -15,6 +15,7 @@
     DirectoryFollower,
     RemovedItem,
     ServerState,
+    ZoneItem,
 )
 from pomelotrail_core.event_log import EventLog
 
@@ -198,6 +199,95 @@
 
         run_followed(async_test)
 
+    def test_evacuation_that_the_copy_lacks(self) -> None:
+        """The zone stays out until the operators have written it again."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose an evacuation, and write it again."""
+            followed.source.write(entry())
+            copy = followed.source.copy()
+            followed.source.write(ZoneItem("zone-1"))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            for _ in range(3):
+                await asyncio.sleep(0.5)
+                self.assertEqual(followed.candidates, [])
+            followed.source.write(ZoneItem("zone-1"))
+            await asyncio.sleep(2 * REWRITE_SECONDS)
+            self.assertEqual(followed.candidates, [])
+
+        run_followed(async_test)
+
+    def test_evacuation_that_ended_with_the_restore(self) -> None:
+        """The zone is back if nobody writes the evacuation again."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose an evacuation for good."""
+            followed.source.write(entry())
+            copy = followed.source.copy()
+            followed.source.write(ZoneItem("zone-1"))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(2 * REWRITE_SECONDS)
+            self.assertEqual(followed.candidates, ["server-1"])
+
+        run_followed(async_test)
+
+    def test_ended_evacuation_that_the_copy_still_has(self) -> None:
+        """The zone stays in service unless its evacuation is not ended again."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose the end of an evacuation."""
+            followed.source.write(entry())
+            followed.source.write(ZoneItem("zone-1"))
+            copy = followed.source.copy()
+            followed.source.write(RemovedItem(zone="zone-1"))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(1)
+            self.assertEqual(followed.candidates, ["server-1"])
+            await asyncio.sleep(2 * REWRITE_SECONDS)
+            self.assertEqual(followed.candidates, [])
+
+        run_followed(async_test)
+
+    def test_evacuation_read_by_another_listing(self) -> None:
+        """A contested zone follows a later listing that has its evacuation again."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Write the evacuation again before the history is lost."""
+            followed.source.write(entry())
+            copy = followed.source.copy()
+            followed.source.write(ZoneItem("zone-1"))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(1)
+            followed.source.write(ZoneItem("zone-1"))
+            listing = await followed.source.async_list(timedelta(seconds=1))
+            followed.directory.replace(listing.ok_value)
+            await asyncio.sleep(2 * REWRITE_SECONDS)
+            self.assertEqual(followed.candidates, [])
+
+        run_followed(async_test)
+
+    def test_evacuation_just_after_a_restore(self) -> None:
+        """It is in force although the copy has an earlier one that has ended."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Begin another evacuation of the zone."""
+            followed.source.write(entry())
+            followed.source.write(ZoneItem("zone-1"))
+            copy = followed.source.copy()
+            followed.source.write(RemovedItem(zone="zone-1"))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(1)
+            followed.source.write(ZoneItem("zone-1"))
+            await asyncio.sleep(0.1)
+            self.assertEqual(followed.candidates, [])
+
+        run_followed(async_test)
+
     def test_address_taken_over_before_a_restore(self) -> None:
         """The later server keeps the address that the copy gives to the earlier one."""
 
