--- a/stand_ins/platform_store/store.py
+++ b/stand_ins/platform_store/store.py
@@ -60,6 +60,7 @@
         self._history: list[_StoredItem] = []
         self._revision = 1
         self._era: int | None = 1
+        self._next_copy: StoreCopy | None = None
         self._discarded_up_to = 0
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
@@ -103,6 +104,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def restore_after_call(self, copy: StoreCopy) -> None:
+        """Restore the store once it has answered the next call for items."""
+        self._next_copy = copy
+
     def report_no_era(self) -> None:
         """Send no era, as stores without eras do."""
         self._era = None
@@ -154,7 +159,11 @@
             "has_more": len(page) < len(keys),
             "at_rev": self._revision,
         }
-        return self._add_era(web.json_response(content))
+        response = self._add_era(web.json_response(content))
+        if self._next_copy is not None:
+            self.restore(self._next_copy)
+            self._next_copy = None
+        return response
 
     async def _async_watch(self, request: web.Request) -> web.Response:
         """Return the changes after a revision, waiting for the first one."""
