Directory: a check from before entries were written again doesn't cover them

What callers would see: an open flow is reset although its server lives (FLOW), on a balancer that started in an outage or listed a restored store.

Cause: while entries may be missing the check says no, but an answer from before the end of that time vouched for the directory right after it, when an entry that was written again late had not been read yet. The answer must now come from after that time.

test_response_from_before_entries_were_written_again failed before (one call, not two).

--- a/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/completeness.py
@@ -53,6 +53,8 @@
         """
         if self._directory.may_lack_entries:
             return False
+        # Entries are written again until the end of that time, and read later.
+        since = max(since, self._directory.incomplete_until)
         while not self._is_known(since):
             running = self._running
             if running is None or running.done():
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
@@ -175,6 +175,27 @@
 
         self.assertEqual(run_in_virtual_time(async_run()), 2)
 
+    def test_response_from_before_entries_were_written_again(self) -> None:
+        """It doesn't cover the entries that a peer's outage made expire."""
+
+        async def async_run() -> int:
+            """Check before a peer reports an outage, and after its grace period."""
+            clock = VirtualClock()
+            source = CountingSource()
+            directory = make_directory(clock)
+            directory.replace(Listing((configuration(1),), source.revision))
+            check = CompletenessCheck(
+                source, directory, clock, self.refresh_requested.set
+            )
+            started = clock.monotonic()
+            await check.async_is_complete(started)
+            directory.record_peer_outage(timedelta(seconds=1))
+            await asyncio.sleep(GRACE_SECONDS)
+            await check.async_is_complete(started)
+            return len(source.calls)
+
+        self.assertEqual(run_in_virtual_time(async_run()), 2)
+
     def test_response_covers_earlier_times(self) -> None:
         """A check for a time before the last call reuses its response."""
 
