Companions: tell balancers that have just started of a restore

What callers would see: an open flow is reset although its server lives (FLOW).

Cause: a balancer that starts just after a restore lists the copy, which lacks servers that the others have read, and can't know that the store was restored: it has read no earlier era. When all companions that it knows had denied a flow, it reset the flow.

Offers and lookups have the era that the balancer last read. A companion that hears a later era than before tells, with its replies, that entries may be missing for two seconds, as it does after an outage. After a power loss of everything nobody remembers an era, and dead flows are reset as soon as before.

test_balancer_that_starts_just_after_a_restore failed before (3 live flows reset).

--- a/harness/changing_fleet.py
+++ b/harness/changing_fleet.py
@@ -10,11 +10,18 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 from typing import Final
 
 import msgspec
 
-from harness.flow_fleet import FIRST_REVISION, SERVICE_ADDRESS, FlowFleet, later
+from harness.flow_fleet import (
+    ENTRY_LIFETIME,
+    FIRST_REVISION,
+    SERVICE_ADDRESS,
+    FlowFleet,
+    later,
+)
 from pomelotrail_core.directory import (
     BackendServer,
     ConfigurationItem,
@@ -30,6 +37,8 @@
 # Stopping one process and starting the next takes longer than the time within which
 # a companion is treated as started together with its server.
 COMPANION_RESTART_SECONDS: Final = 0.4
+# Servers write entries that a restored store lacks within this time after its return.
+REWRITE_SECONDS: Final = 1.9
 
 
 class ChangingFleet:
@@ -47,7 +56,10 @@
             host: self.fleet.server_entry(host, FIRST_REVISION)
             for host in self._hosts[:servers]
         }
+        self._stored = {each.identity: each for each in self._entries.values()}
+        self._copies = [(self._revision, dict(self._stored))]
         self._changes: list[tuple[Revision, ServerItem | RemovedItem]] = []
+        self._rewrites: set[asyncio.Task] = set()
         for index in range(balancers):
             self.restart_balancer(index)
 
@@ -71,6 +83,35 @@
         self._entries[host] = self._next_entry(host)
         self._publish(ServerItem(self._entries[host]))
 
+    def restore_store(self, lost_changes: int) -> None:
+        """Restore the store from a copy that lacks the last changes.
+
+        Living servers write their entries again, and entries of servers that are gone
+        expire.
+        """
+        number = max(0, len(self._copies) - 1 - lost_changes)
+        revision, stored = self._copies[number]
+        self._stored = dict(stored)
+        self._revision = Revision(self._revision.era + 1, revision.number)
+        self._copies = [(self._revision, dict(stored))]
+        self._changes = []
+        self.fleet.source.revision = self._revision
+        rewrite = asyncio.create_task(self._async_write_again())
+        self._rewrites.add(rewrite)
+        rewrite.add_done_callback(self._rewrites.discard)
+
+    async def _async_write_again(self) -> None:
+        """Write missing entries of living servers and remove the others in time."""
+        await asyncio.sleep(REWRITE_SECONDS)
+        living = {each.identity: each for each in self._entries.values()}
+        for identity, entry in living.items():
+            if identity not in self._stored:
+                self._publish(ServerItem(self._restamp(entry)))
+        await asyncio.sleep(ENTRY_LIFETIME.total_seconds() - REWRITE_SECONDS)
+        living = {each.identity for each in self._entries.values()}
+        for identity in self._stored.keys() - living:
+            self._publish(RemovedItem(identity=identity))
+
     async def async_restart_companion(self, index: int) -> None:
         """Restart a companion, which loses its table; its server keeps running."""
         host = self._hosts[index % len(self._hosts)]
@@ -87,9 +128,8 @@
             for each in self.fleet.listing().items
             if isinstance(each, ConfigurationItem)
         ]
-        entries = [ServerItem(each) for each in self._entries.values()]
-        listing = Listing((*configuration, *entries), self._revision)
-        self.fleet.directory().replace(listing)
+        self._use_balancer(index)
+        self._list_store(self.fleet.directory(), configuration)
 
     def read_store(self, balancer: int) -> None:
         """Apply all changes of the store to a balancer's directory."""
@@ -126,6 +166,24 @@
             self.callers.remove(caller)
             self.resets_of_open_flows += was_open
 
+    def _list_store(
+        self, directory: Directory, configuration: Sequence[ConfigurationItem] = ()
+    ) -> None:
+        """Apply all entries of the store to a directory."""
+        entries = [
+            ServerItem(self._restamp(x, x.revision)) for x in self._stored.values()
+        ]
+        directory.replace(Listing((*configuration, *entries), self._revision))
+
+    def _restamp(
+        self, entry: BackendServer, revision: Revision | None = None
+    ) -> BackendServer:
+        """Return an entry as read in the present era."""
+        number = (revision or later(self._revision)).number
+        return msgspec.structs.replace(
+            entry, revision=Revision(self._revision.era, number)
+        )
+
     def _use_balancer(self, balancer: int) -> None:
         """Send the packets of callers to this balancer."""
         self.fleet.use_balancer(balancer % len(self.fleet.balancer_names))
@@ -145,10 +203,19 @@
     def _publish(self, item: ServerItem | RemovedItem) -> None:
         """Write a change to the store."""
         self._revision = later(self._revision)
+        match item:
+            case ServerItem(server):
+                self._stored[server.identity] = server
+            case RemovedItem(identity):
+                self._stored.pop(identity, None)
+        self._copies.append((self._revision, dict(self._stored)))
         self._changes.append((self._revision, item))
         self.fleet.source.revision = self._revision
 
     def _apply_changes(self, directory: Directory) -> None:
-        """Apply the changes that a directory has not read yet."""
+        """Apply the changes that a directory has not read yet, as a follower does."""
+        if directory.revision.era != self._revision.era:
+            self._list_store(directory)
+            return
         missing = [x for revision, x in self._changes if revision > directory.revision]
         directory.apply(Listing(tuple(missing), self._revision))
--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -55,7 +55,7 @@
 SERVICE: Final = "stock-ledger"
 SERVICE_ADDRESS: Final = ("198.51.100.1", 443)
 ROUTE_TIMEOUT: Final = timedelta(seconds=4)
-FIRST_REVISION: Final = Revision(number=100)
+FIRST_REVISION: Final = Revision(era=1, number=100)
 ENTRY_LIFETIME: Final = timedelta(seconds=3.6)
 CALLERS_HOST: Final = "203.0.113.9"
 
@@ -248,7 +248,7 @@
             {SERVICE: ServiceSettings(SERVICE, self.cold_flows_per_s)},
         )
         servers = [
-            ServerItem(self.server_entry(host, Revision(number=number)))
+            ServerItem(self.server_entry(host, Revision(FIRST_REVISION.era, number)))
             for number, host in enumerate(self.servers, 2)
         ]
         return Listing((ConfigurationItem(configuration), *servers), FIRST_REVISION)
--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -70,7 +70,7 @@
             fleet, caller, host = await self.async_open_at_first_server()
             fleet.start_balancer("192.0.2.200", is_listed=False)
             earlier = msgspec.structs.replace(
-                fleet.server_entry(host, Revision(number=2)),
+                fleet.server_entry(host, Revision(FIRST_REVISION.era, 2)),
                 identity="earlier",
                 service="certificate-desk",
             )
--- a/harness/tests/test_lookup_properties.py
+++ b/harness/tests/test_lookup_properties.py
@@ -13,7 +13,8 @@
 _CALLERS = 4
 _FLEET_CHANGES = ("register", "replace", "restart companion", "restart balancer")
 _STEPS = st.tuples(
-    st.sampled_from((*_FLEET_CHANGES, "read", "open", "ask")), st.integers(0, 1)
+    st.sampled_from((*_FLEET_CHANGES, "restore", "read", "open", "ask")),
+    st.integers(0, 1),
 )
 
 
@@ -30,6 +31,8 @@
                 await fleet.async_restart_companion(index)
             case "restart balancer":
                 fleet.restart_balancer(index)
+            case "restore":
+                fleet.restore_store(1 + index)
             case "read":
                 fleet.read_store(index)
             case "open":
@@ -48,6 +51,19 @@
         """Balancers lag behind the store in any order of changes."""
         self.assertEqual(run_in_virtual_time(async_apply(steps)), 0)
 
+    def test_balancer_that_starts_just_after_a_restore(self) -> None:
+        """Its listing lacks a server that others have read, and no reset follows."""
+        steps = [
+            ("register", 0),
+            ("read", 0),
+            ("open", 0),
+            ("open", 0),
+            ("restore", 0),
+            ("restart balancer", 1),
+            ("ask", 1),
+        ]
+        self.assertEqual(run_in_virtual_time(async_apply(steps)), 0)
+
     def test_new_server_known_to_one_balancer(self) -> None:
         """Regression: this order reset a live flow after servers had been added."""
         steps = [
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookup_queries.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookup_queries.py
@@ -84,8 +84,14 @@
         server = companion.server
         number = next(self._numbers)
         self._sent[number] = LookupQuery(companion, server.identity, flows, now)
-        unsettled_ms = self._directory.missing_entry_grace_remaining // MILLISECOND
-        message = Lookup(number, server.service, flows, unsettled_ms, server.started_ms)
+        message = Lookup(
+            number=number,
+            service=server.service,
+            flows=flows,
+            unsettled_ms=self._directory.missing_entry_grace_remaining // MILLISECOND,
+            server_started_ms=server.started_ms,
+            era=self._directory.revision.era,
+        )
         self._send(encode(message), companion.fleet_address)
 
     def _drop_expired(self, now: timedelta) -> None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
@@ -177,6 +177,7 @@
             target_ms=route.target_latency // MILLISECOND,
             packet=packet.data,
             unsettled_ms=self._directory.missing_entry_grace_remaining // MILLISECOND,
+            era=self._directory.revision.era,
         )
         self._send(encode(offer), companion.fleet_address)
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -61,7 +61,7 @@
             self._counters.add("offers_malformed")
             return
         now = self._clock.monotonic()
-        self._outages.record(offer.unsettled_ms)
+        self._outages.record(offer.unsettled_ms, offer.era)
         self._gate.set_slots(offer.slots)
         self._flows.drop_unused_openings(now)
         outcome = self._decide_outcome(offer, packet, now)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
@@ -86,7 +86,7 @@
         A lookup for another service refers to an earlier server at this address, whose
         flows have ended.
         """
-        self.outages.record(lookup.unsettled_ms)
+        self.outages.record(lookup.unsettled_ms, lookup.era)
         self.record_server_start(lookup.server_started_ms)
         is_own = lookup.service == self._service
         owned = []
--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -22,8 +22,6 @@
 # flow requests one.
 CHECK_COOLDOWN: Final = timedelta(milliseconds=150)
 CHECK_TIMEOUT: Final = timedelta(milliseconds=400)
-# Entries that expired during an outage of the store are written again within this time.
-MISSING_ENTRY_GRACE: Final = timedelta(seconds=2)
 # A missing entry is attributed to an outage for this long after the outage ended.
 OUTAGE_ATTRIBUTION_WINDOW: Final = timedelta(seconds=4)
 # Flows may stay open this long on a backend server whose entry was removed.
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -10,11 +10,11 @@
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.event_log import EventLog
+from pomelotrail_core.offers import MISSING_ENTRY_GRACE
 
 from .const import (
     CHANGE_BATCH_WINDOW,
     FORMER_SERVER_RETENTION,
-    MISSING_ENTRY_GRACE,
     OUTAGE_LOST_SHARE,
     OUTAGE_MIN_LOST,
 )
--- a/packages/pomelotrail-core/pomelotrail_core/directory/source_outage.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/source_outage.py
@@ -3,8 +3,9 @@
 from datetime import timedelta
 
 from pomelotrail_core.clock import Clock
+from pomelotrail_core.offers import MISSING_ENTRY_GRACE
 
-from .const import MISSING_ENTRY_GRACE, OUTAGE_ATTRIBUTION_WINDOW
+from .const import OUTAGE_ATTRIBUTION_WINDOW
 
 
 class SourceOutage:
--- a/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
@@ -1,7 +1,7 @@
 """Messages between balancers and companions about flows and their owners."""
 
 from .codec import decode, encode, service_label
-from .const import MAX_PROBES_PER_REQUEST
+from .const import MAX_PROBES_PER_REQUEST, MISSING_ENTRY_GRACE
 from .messages import (
     FleetMessage,
     Lookup,
@@ -19,6 +19,7 @@
 
 __all__ = [
     "MAX_PROBES_PER_REQUEST",
+    "MISSING_ENTRY_GRACE",
     "FleetMessage",
     "Lookup",
     "LookupMiss",
--- a/packages/pomelotrail-core/pomelotrail_core/offers/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/const.py
@@ -1,7 +1,11 @@
 """Constants of the messages between balancers and companions."""
 
+from datetime import timedelta
 from typing import Final
 
 # A probe request for so many servers, with a packet of 1,200 bytes, stays below
 # 1,700 bytes.
 MAX_PROBES_PER_REQUEST: Final = 64
+# Entries that the store lost in an outage, or by a restore, are written again within
+# this time. Balancers apply it to their directories and companions report it.
+MISSING_ENTRY_GRACE: Final = timedelta(seconds=2)
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -35,6 +35,7 @@
     set by operators, order the requests of the flow in the queue. ``unsettled_ms`` is
     the remaining grace period of entries that went missing in an outage of the store;
     0 without an outage. Companions forward it to balancers that have just started.
+    ``era`` is that of the store which the balancer last read; 0 if unknown.
     """
 
     number: int
@@ -46,6 +47,7 @@
     target_ms: int
     packet: bytes
     unsettled_ms: int = 0
+    era: int = 0
 
 
 class OfferReply(_Message, tag=2):
@@ -73,6 +75,7 @@
     """Query of a balancer for the flows that the receiver's backend server owns.
 
     ``server_started_ms`` is the start time of that server in its entry; 0 if unknown.
+    ``unsettled_ms`` and ``era`` are those of an offer.
     """
 
     number: int
@@ -80,6 +83,7 @@
     flows: tuple[bytes, ...]
     unsettled_ms: int = 0
     server_started_ms: int = 0
+    era: int = 0
 
 
 class LookupReply(_Message, tag=8):
