Directory: a short watch after each pause tells the era of the store

What callers would see: an older configuration for up to 4 s and longer than the limit of 3 s (CONFIG), after a restore that broke no call of the balancer.

Cause: while changes are batched no call is under way. A restore in that time leaves no trace; the next watch is accepted if the store has reached its number again, and says nothing for its wait of 4 s. The first watch after a pause now waits 1 s.

test_restore_between_two_watches failed before (version 5 instead of 6).

--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -6,6 +6,9 @@
 # A watch whose connection is lost times out after the wait plus the margin.
 WATCH_WAIT: Final = timedelta(seconds=4)
 WATCH_TIMEOUT_MARGIN: Final = timedelta(seconds=1)
+# Between two calls, and after a failed one, the source may begin a new era. The next
+# answer tells, even if there is nothing to report, so it must not take long.
+WATCH_WAIT_AFTER_PAUSE: Final = timedelta(seconds=1)
 LIST_TIMEOUT: Final = timedelta(seconds=1)
 # Changes in quick succession are read by one call. The limits that operators set on
 # the time until a change is in force are 3 s or more.
--- a/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
@@ -17,6 +17,7 @@
     RETRY_JITTER,
     WATCH_TIMEOUT_MARGIN,
     WATCH_WAIT,
+    WATCH_WAIT_AFTER_PAUSE,
 )
 from .directory import Directory
 from .errors import SourceError, SourceProblem
@@ -70,10 +71,8 @@
         Revisions of different eras are positions in different histories, so the changes
         between them are unknown.
         """
+        wait = WATCH_WAIT
         while True:
-            # After a failure the source may be in a new era. An answer without a wait
-            # tells, even if there is nothing to report.
-            wait = timedelta() if self._failures else WATCH_WAIT
             changes = await self._source.async_changes(
                 self._directory.revision, wait, wait + WATCH_TIMEOUT_MARGIN
             )
@@ -84,12 +83,15 @@
                 case Ok(listing):
                     self._record_success(listing.revision)
                     self._directory.apply(listing)
+                    wait = WATCH_WAIT
                     if listing.items:
                         await self._async_wait_for_batch()
+                        wait = WATCH_WAIT_AFTER_PAUSE
                 case Err(SourceError(problem=SourceProblem.HISTORY_LOST)):
                     return
                 case Err(error):
                     await self._async_back_off(error)
+                    wait = timedelta()
 
     def _is_restored(self, listing: Listing) -> bool:
         """Return whether the source began a new era since it was last read."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -103,6 +103,21 @@
 
         run_followed(async_test)
 
+    def test_restore_between_two_watches(self) -> None:
+        """A change is in force in time although no call failed."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Restore the source while the follower batches changes."""
+            copy = followed.source.copy()
+            followed.source.write(configuration(5))
+            await asyncio.sleep(0.3)
+            await followed.async_restore(copy, outage_s=0)
+            followed.source.write(configuration(6))
+            await asyncio.sleep(APPLY_SECONDS)
+            self.assertEqual(followed.directory.version, 6)
+
+        run_followed(async_test)
+
     def test_server_that_announced_its_end_before_a_restore(self) -> None:
         """It gets no new flow, although the copy has it as ready."""
 
