Directory: what a restored copy has of a server applies if nobody writes again

What callers would see: a server that is left out for good, if its later entry was lost and the server has nothing more to write. Not seen; found while a property was written that compares the directory with its source after any changes and restores.

Cause: the copy's older entry was dropped when it was listed. It is kept beside the later one now, and applies once it has outlasted the lifetime of an entry that nobody renews. For equal counts of writes, leaving is later than ready.

test_entry_that_nobody_writes_again failed before.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -326,18 +326,15 @@
             self._keep_known(known, server)
             return
         if self._is_outdated(server):
-            self._log.write(
-                _PART,
-                "entry_outdated",
-                server=server.identity,
-                address=str(server.endpoint),
-                entry_revision=server.revision.number,
-                **self.log_fields,
-            )
+            self._log_outdated(server)
             return
         former = self._former.pop(server.identity, None)
         is_confirmed = former is None or server.supersedes(former.server)
         self._remove_reused_address(server)
+        self._record_entry(server, is_confirmed)
+
+    def _record_entry(self, server: BackendServer, is_confirmed: bool) -> None:
+        """Record an entry that is in force, and log it."""
         now = self._clock.monotonic()
         known = self._known[server.identity] = KnownServer(server, now)
         if not is_confirmed:
@@ -359,10 +356,24 @@
         Further changes are compared with the revision at which the store has the entry.
         """
         known.grace_ends = None
-        if listed.revision.era > known.server.revision.era:
-            known.server = msgspec.structs.replace(
-                known.server, revision=listed.revision
-            )
+        if listed.revision.era == known.server.revision.era:
+            return
+        if known.server.supersedes(listed):
+            known.older = listed
+            known.older_from = self._clock.monotonic() + self._entry_lifetime
+            self._log_outdated(listed)
+        known.server = msgspec.structs.replace(known.server, revision=listed.revision)
+
+    def _log_outdated(self, server: BackendServer) -> None:
+        """Log an entry that is not applied, as a later one is known."""
+        self._log.write(
+            _PART,
+            "entry_outdated",
+            server=server.identity,
+            address=str(server.endpoint),
+            entry_revision=server.revision.number,
+            **self.log_fields,
+        )
 
     def _is_outdated(self, server: BackendServer) -> bool:
         """Return whether a later entry has the same address.
@@ -439,6 +450,9 @@
             for identity, known in list(self._known.items()):
                 if known.grace_ends is not None and now >= known.grace_ends:
                     self._remove(identity, "lapse_not_renewed")
+        for known in list(self._known.values()):
+            if known.older is not None and now >= known.older_from:
+                self._record_entry(known.older, is_confirmed=True)
         for identity, known in list(self._former.items()):
             if now - known.recorded_at >= FORMER_SERVER_RETENTION:
                 del self._former[identity]
--- a/packages/pomelotrail-core/pomelotrail_core/directory/known_server.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/known_server.py
@@ -13,12 +13,16 @@
     ``grace_ends`` is when the grace period of a missing entry ends; None while the
     entry is present. ``unconfirmed_until`` is set for an entry that a restored store
     lists although its removal was read before: the server gets no new flows until then.
+    ``older`` is the entry of a restored store that a later entry, read before,
+    supersedes. It applies after ``older_from``, unless the server writes again.
     """
 
     server: BackendServer
     recorded_at: timedelta
     grace_ends: timedelta | None = None
     unconfirmed_until: timedelta = timedelta()
+    older: BackendServer | None = None
+    older_from: timedelta = timedelta()
 
     @property
     def is_ready(self) -> bool:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
@@ -39,6 +39,11 @@
     started_ms: int = 0
     sequence: int = 0
 
+    @property
+    def _progress(self) -> tuple[int, bool]:
+        """Return how far the server got since its start; leaving is the end of it."""
+        return self.sequence, self.state is ServerState.LEAVING
+
     def supersedes(self, other: "BackendServer") -> bool:
         """Return whether this entry is later than one of the same server or address.
 
@@ -52,7 +57,7 @@
         if has_starts and self.started_ms != other.started_ms:
             return self.started_ms > other.started_ms
         if has_starts and self.identity == other.identity:
-            return self.sequence > other.sequence
+            return self._progress > other._progress
         return self.revision > other.revision
 
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
@@ -15,6 +15,7 @@
     RemovedItem,
     Revision,
     ServerItem,
+    ServerState,
     SourceError,
     SourceProblem,
     ZoneItem,
@@ -56,6 +57,22 @@
         """Return the revision of the last change."""
         return Revision(self._era, self._number)
 
+    @property
+    def zones_out(self) -> frozenset[str]:
+        """Return the zones out of service."""
+        return frozenset(x.zone for x in self._items() if isinstance(x, ZoneItem))
+
+    @property
+    def ready_servers(self) -> list[str]:
+        """Return the servers that may get new flows."""
+        return sorted(
+            item.server.identity
+            for item in self._items()
+            if isinstance(item, ServerItem)
+            and item.server.state is ServerState.READY
+            and item.server.zone not in self.zones_out
+        )
+
     @property
     def is_reachable(self) -> bool:
         """Return whether calls are answered."""
@@ -87,13 +104,7 @@
         """Return the items that were not replaced or removed."""
         if not self._is_reachable:
             return _unreachable()
-        latest = {_key(item): (number, item) for number, item in self._history}
-        items = [
-            self._stamp(number, item)
-            for number, item in sorted(latest.values(), key=lambda entry: entry[0])
-            if not isinstance(item, RemovedItem)
-        ]
-        return Ok(Listing(tuple(items), self.revision))
+        return Ok(Listing(tuple(self._items()), self.revision))
 
     async def async_revision(self, timeout: timedelta) -> Result[Revision, SourceError]:
         """Return the revision of the last change."""
@@ -121,6 +132,15 @@
         ]
         return Ok(Listing(tuple(items), self.revision))
 
+    def _items(self) -> list[DirectoryItem]:
+        """Return the present items in the order in which they were written."""
+        latest = {_key(item): (number, item) for number, item in self._history}
+        return [
+            self._stamp(number, item)
+            for number, item in sorted(latest.values(), key=lambda entry: entry[0])
+            if not isinstance(item, RemovedItem)
+        ]
+
     def _stamp(self, number: int, item: DirectoryItem) -> DirectoryItem:
         """Return an item as read in the current era."""
         revision = Revision(self._era, number)
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restore_properties.py
@@ -0,0 +1,115 @@
+"""A directory follows its source through any order of changes and restores."""
+
+import asyncio
+import unittest
+from typing import Final
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from harness.virtual_time import run_in_virtual_time
+from pomelotrail_core.directory import (
+    RemovedItem,
+    ServerItem,
+    ServerState,
+    ZoneItem,
+)
+from pomelotrail_core.endpoint import Endpoint
+
+from .builders import ENTRY_LIFETIME, configuration, entry
+from .test_restored_source import APPLY_SECONDS, STARTED_MS, FollowedSource
+
+_SERVERS: Final = 2
+# Everything is settled after the lifetime of an entry and a wait of a watch.
+_SETTLED_SECONDS: Final = ENTRY_LIFETIME.total_seconds() + 6
+_STEPS: Final = st.tuples(
+    st.sampled_from(
+        ("publish", "ready", "leaving", "removed", "zone out", "zone back", "copy")
+        + ("restore", "restore briefly", "outage", "wait", "wait longer")
+    ),
+    st.integers(0, _SERVERS - 1),
+)
+
+
+class _Writers:
+    """Servers and operators that write to a source, and the last copy of it."""
+
+    def __init__(self, followed: FollowedSource) -> None:
+        """Start with one copy."""
+        self._followed = followed
+        self._source = followed.source
+        self._copy = self._source.copy()
+        self._sequence = 0
+        self.version = 4
+
+    async def async_apply(self, step: str, index: int) -> None:
+        """Apply one step."""
+        match step:
+            case "publish":
+                self.version += 1
+                self._source.write(configuration(self.version))
+            case "ready" | "leaving":
+                self._source.write(self._entry(index, step))
+            case "removed":
+                self._source.write(RemovedItem(identity=f"server-{index}"))
+            case "zone out":
+                self._source.write(ZoneItem(f"zone-{index}"))
+            case "zone back":
+                self._source.write(RemovedItem(zone=f"zone-{index}"))
+            case "copy":
+                self._copy = self._source.copy()
+            case "restore":
+                await self._followed.async_restore(self._copy)
+            case "restore briefly":
+                await self._followed.async_restore(self._copy, outage_s=0)
+            case "outage":
+                await self._followed.async_restore(self._source.copy(), outage_s=1)
+            case "wait":
+                await asyncio.sleep(0.3)
+            case "wait longer":
+                await asyncio.sleep(3)
+
+    def _entry(self, index: int, state: str) -> ServerItem:
+        """Return the entry of a server, which a later one follows."""
+        self._sequence += 1
+        return entry(
+            identity=f"server-{index}",
+            endpoint=Endpoint(f"192.0.2.{index + 1}", 8080),
+            zone=f"zone-{index}",
+            state=ServerState(state),
+            started_ms=STARTED_MS,
+            sequence=self._sequence,
+        )
+
+
+class RestorePropertyTest(unittest.TestCase):
+    """What is in force in the end is what the source has."""
+
+    @settings(max_examples=500, deadline=None, derandomize=True)
+    @given(st.lists(_STEPS, min_size=4, max_size=24))
+    def test_directory_follows_its_source(self, steps: list[tuple[str, int]]) -> None:
+        """No change is missed, and no version goes back."""
+        run_in_virtual_time(self._async_follow(steps))
+
+    def test_entry_that_nobody_writes_again(self) -> None:
+        """What a restored source has of a server applies in the end."""
+        steps = ["ready", "copy", "leaving", "wait longer", "restore"]
+        run_in_virtual_time(self._async_follow([(step, 0) for step in steps]))
+
+    async def _async_follow(self, steps: list[tuple[str, int]]) -> None:
+        """Apply the steps, publish a last version, and compare."""
+        followed = FollowedSource()
+        await asyncio.sleep(1)
+        writers = _Writers(followed)
+        version = followed.directory.version
+        for step, index in steps:
+            await writers.async_apply(step, index)
+            self.assertGreaterEqual(followed.directory.version, version)
+            version = followed.directory.version
+        await writers.async_apply("publish", 0)
+        await asyncio.sleep(APPLY_SECONDS)
+        self.assertEqual(followed.directory.version, writers.version)
+        await asyncio.sleep(_SETTLED_SECONDS)
+        self.assertEqual(followed.directory.zones_out, followed.source.zones_out)
+        self.assertEqual(sorted(followed.candidates), followed.source.ready_servers)
+        followed.stop()
