Soak: the store is restored from a copy, and what it lacks is written again

A fault of its own kind beside the others, so that restores overlap with kills, drains, zones and outages. The stand-in returns what a restore lost; entries of servers count their writes.

The variants ignore-drain and ignore-zones follow the directory's zones.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -23,7 +23,7 @@
     _patch_candidates(lambda known, out: known.server.state is ready)
 
 
-def _patch_candidates(is_candidate: Callable[[Any, set[str]], bool]) -> None:
+def _patch_candidates(is_candidate: Callable[[Any, frozenset[str]], bool]) -> None:
     """Replace the condition that selects candidates."""
     from pomelotrail_core.directory import Directory
 
@@ -32,7 +32,7 @@
         return [
             known.server
             for known in self._known.values()
-            if known.server.service == service and is_candidate(known, self._zones_out)
+            if known.server.service == service and is_candidate(known, self.zones_out)
         ]
 
     Directory.candidates = candidates
--- a/soak/const.py
+++ b/soak/const.py
@@ -6,6 +6,8 @@
 DRAIN_BOUND_S: Final = 3.0
 ZONE_BOUND_S: Final = 5.0
 CONFIGURATION_BOUND_S: Final = 3.0
+# What a restored store lacks is written again within this time.
+REWRITE_BOUND_S: Final = 2.0
 # The promised time limits hold after a period without faults.
 QUIET_PERIOD_S: Final = 4.0
 RECOVERY_S: Final = 12.0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
+from .const import REWRITE_BOUND_S
 from .fleet import BackendVM, BalancerVM, SoakFleet
 from .links import Impairment
 from .schedule import Fault, FaultKind, get_other_service
@@ -13,6 +14,7 @@
 _DELAY_S = 0.15
 _LOSS_PROBABILITY = 0.2
 _DRAIN_DURATION_S = 4.5
+_RESTORE_OUTAGE_S = 0.3
 
 
 class FaultInjector:
@@ -55,6 +57,7 @@
             FaultKind.CONFIGURATION: self._async_configuration,
             FaultKind.STORE_FORGETS: self._async_store_forgets,
             FaultKind.STORE_RESETS: self._async_store_resets,
+            FaultKind.STORE_RESTORED: self._async_store_restored,
         }
         handler = handlers.get(fault.kind)
         if handler is not None:
@@ -160,6 +163,18 @@
         """Reset the connections of one balancer to the store."""
         self._pick_balancer_vm(fault).store.reset()
 
+    async def _async_store_restored(self, fault: Fault) -> None:
+        """Lose what is written meanwhile, until it is written again."""
+        store = self._fleet.store
+        copy = store.copy()
+        await asyncio.sleep(fault.for_s)
+        store.faults.status = 503
+        await asyncio.sleep(_RESTORE_OUTAGE_S)
+        lost = store.restore(copy)
+        store.faults.status = 0
+        await asyncio.sleep(fault.pick * REWRITE_BOUND_S)
+        store.write_again(lost, copy)
+
     async def _async_impair_link(self, fault: Fault) -> None:
         """Impair the links between a balancer and one companion or all of them."""
         links = [self._pick_backend_vm(fault).link] if fault.pick < 0.5 else None
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -34,6 +34,7 @@
     ZONE_OUT = "zone out"
     CONFIGURATION = "configuration"
     SERVER_ADD = "server add"
+    STORE_RESTORED = "store restored"
 
 
 @attrs.frozen
--- a/stand_ins/platform_store/publisher.py
+++ b/stand_ins/platform_store/publisher.py
@@ -1,6 +1,7 @@
 """Publisher of the items that backend servers and operators write."""
 
 import json
+from collections import Counter
 from typing import Any
 
 import attrs
@@ -26,6 +27,7 @@
     def __init__(self, store: PlatformStore) -> None:
         """Initialize with the store to write to."""
         self._store = store
+        self._sequences: Counter[str] = Counter()
 
     def server(
         self,
@@ -39,8 +41,10 @@
         is_leaving: bool = False,
     ) -> None:
         """Write the entry of a backend server."""
+        self._sequences[identity] += 1
         entry = {
-            **{"service": service, "zone": zone, "version": "v1", "sequence": 1},
+            **{"service": service, "zone": zone, "version": "v1"},
+            **{"sequence": self._sequences[identity]},
             **{"address": address, "capacity": slots, "born": started_ms},
             **{"state": "draining" if is_leaving else "ready"},
             **{"warmup_left_ms": cold_ms},
--- a/stand_ins/platform_store/store.py
+++ b/stand_ins/platform_store/store.py
@@ -94,8 +94,16 @@
         """Return a copy to restore the store from later."""
         return StoreCopy(dict(self._items), list(self._history), self._revision)
 
-    def restore(self, copy: StoreCopy) -> None:
-        """Replace all items by those of a copy and begin a new era."""
+    def restore(self, copy: StoreCopy) -> dict[str, bytes | None]:
+        """Replace all items by those of a copy and begin a new era.
+
+        Returns the values that the copy lacks, by key; None for a removed item.
+        """
+        changed = [
+            key for key in self._items if self._items[key] != copy.items.get(key)
+        ]
+        lost = {key: self._items[key].value for key in changed}
+        lost |= {key: None for key in copy.items.keys() - self._items.keys()}
         self._items = dict(copy.items)
         self._history = list(copy.history)
         self._revision = copy.revision
@@ -104,6 +112,14 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+        return lost
+
+    def write_again(self, lost: dict[str, bytes | None], copy: StoreCopy) -> None:
+        """Write what a restore lost, unless it was written since."""
+        for key, value in lost.items():
+            if self._items.get(key) == copy.items.get(key):
+                self._record_change(key, value)
+
     def restore_after_call(self, copy: StoreCopy) -> None:
         """Restore the store once it has answered the next call for items."""
         self._next_copy = copy
