Directory: entries missing since a first restore wait for the second one as well

What callers would see: an open flow is reset, or a server gets no new flows, although its entry is about to be written again (FLOW).

Cause: a restore that broke no call started the grace period of entries that went missing, but left that of entries that an earlier restore had taken. Both are extended now, as they are after an outage. test_restore_that_broke_no_call failed before; test_two_restores_in_a_row holds before and after.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -273,6 +273,10 @@
             source_revision=revision.number,
             **self.log_fields,
         )
+        self._extend_grace_periods()
+
+    def _extend_grace_periods(self) -> None:
+        """Let the grace period of each missing entry end as late as a new one."""
         for known in self._known.values():
             if known.grace_ends is not None:
                 known.grace_ends = self._outage.grace_end
@@ -307,6 +311,7 @@
             **self.log_fields,
         )
         self._mark_incomplete(self._outage.grace_end)
+        self._extend_grace_periods()
 
     def _mark_incomplete(self, until: timedelta) -> None:
         """Treat the known entries as incomplete until the given time."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -118,6 +118,38 @@
 
         run_followed(async_test)
 
+    def test_two_restores_in_a_row(self) -> None:
+        """An entry that both copies lack has its whole time after the second one."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Restore the same copy again before the entry is written again."""
+            copy = followed.source.copy()
+            followed.source.write(entry(started_ms=STARTED_MS))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(1.5)
+            await followed.async_restore(copy, outage_s=0.1)
+            await asyncio.sleep(REWRITE_SECONDS - 0.3)
+            self.assertEqual(followed.candidates, ["server-1"])
+
+        run_followed(async_test)
+
+    def test_restore_that_broke_no_call(self) -> None:
+        """Entries that went missing before have their whole time after it."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Restore twice while a watch waits."""
+            copy = followed.source.copy()
+            followed.source.write(entry(started_ms=STARTED_MS))
+            await asyncio.sleep(1)
+            for version in (5, 6):
+                followed.source.restore(copy)
+                followed.source.write(configuration(version))
+                await asyncio.sleep(REWRITE_SECONDS - 0.5)
+            self.assertEqual(followed.candidates, ["server-1"])
+
+        run_followed(async_test)
+
     def test_server_that_announced_its_end_before_a_restore(self) -> None:
         """It gets no new flow, although the copy has it as ready."""
 
