--- a/soak/broken.py
+++ b/soak/broken.py
@@ -31,7 +31,7 @@
         """Return the servers of a service that meet the condition."""
         return [
             known.server
-            for known in self._known.values()
+            for known in self._servers._known.values()
             if known.server.service == service and is_candidate(known, self.zones_out)
         ]
 
