Directory: an entry that is written again late after a restore applies at once

What callers would see: no new flows on a server, or a refused flow where all servers were late, for the lifetime of an entry (3 s) after it registered again.

Cause: a server whose removal was read before was taken as one that only the copy has, whenever its entry didn't say that it wrote since. A server that writes the lost entry again, after the time in which it was expected, writes the same one. What is written after the first listing of an era can't come from the copy, so its revision decides.

test_server_that_writes_its_entry_again_late failed before (no candidate).

--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -272,7 +272,7 @@
             source_revision=revision.number,
         )
         self._mark_incomplete(self._outage.grace_end)
-        self._servers.extend_grace_periods()
+        self._servers.record_restore(revision)
 
     def _mark_incomplete(self, until: timedelta) -> None:
         """Treat the known entries as incomplete until the given time."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
@@ -12,6 +12,7 @@
 from .const import FORMER_SERVER_RETENTION
 from .known_server import KnownServer
 from .messages import BackendServer, ServerState
+from .revision import Revision
 from .source_outage import SourceOutage
 
 
@@ -43,6 +44,7 @@
         self._outage = outage
         self._entry_lifetime = entry_lifetime
         self._log = log
+        self._restored_to = Revision()
         self._known: dict[str, KnownServer] = {}
         self._former: dict[str, KnownServer] = {}
 
@@ -101,7 +103,11 @@
             self._log_outdated(server)
             return
         former = self._former.pop(server.identity, None)
-        is_confirmed = former is None or server.supersedes(former.server)
+        is_confirmed = (
+            former is None
+            or server.revision > self._restored_to
+            or server.supersedes(former.server)
+        )
         self._remove_reused_address(server)
         self._record_entry(server, is_confirmed)
 
@@ -127,6 +133,11 @@
         if identity in self._known:
             self._remove(identity, "entry_unusable")
 
+    def record_restore(self, revision: Revision) -> None:
+        """Record that entries up to a revision may come from an older copy."""
+        self._restored_to = revision
+        self.extend_grace_periods()
+
     def extend_grace_periods(self) -> None:
         """Let the grace period of each missing entry end as late as a new one."""
         for known in self._known.values():
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -209,6 +209,23 @@
 
         run_followed(async_test)
 
+    def test_server_that_writes_its_entry_again_late(self) -> None:
+        """It gets new flows at once, although its removal was read before."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Write a lost entry again after the time in which it is expected."""
+            copy = followed.source.copy()
+            followed.source.write(entry(started_ms=STARTED_MS))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(REWRITE_SECONDS + 1)
+            self.assertEqual(followed.candidates, [])
+            followed.source.write(entry(started_ms=STARTED_MS))
+            await asyncio.sleep(0.1)
+            self.assertEqual(followed.candidates, ["server-1"])
+
+        run_followed(async_test)
+
     def test_leaving_server_that_the_copy_lacks(self) -> None:
         """Its flows keep their owner until the server has written its entry again."""
 
