Directory: an entry of a restored copy doesn't apply before its removal can be read

What callers would see: new flows on a server that has left, for up to a second, on a balancer that knew of its end: its copy's entry applied after the lifetime of an entry, just when the store removes it, and the removal may still wait to be read.

The entry applies a batch of changes and a call later. test_entry_of_the_copy_that_expires failed before (a candidate).

--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -13,6 +13,8 @@
 # Changes in quick succession are read by one call. The limits that operators set on
 # the time until a change is in force are 3 s or more.
 CHANGE_BATCH_WINDOW: Final = timedelta(milliseconds=800)
+# Time in which a removal is read: a batch of changes and a call.
+REMOVAL_READ_DELAY: Final = CHANGE_BATCH_WINDOW + timedelta(milliseconds=200)
 # The retry delay doubles after each failed call, up to the maximum.
 INITIAL_RETRY_DELAY: Final = timedelta(milliseconds=100)
 MAX_RETRY_DELAY: Final = timedelta(milliseconds=800)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
@@ -9,7 +9,7 @@
 from pomelotrail_core.offers import MISSING_ENTRY_GRACE
 
 from .change_log import ChangeLog
-from .const import FORMER_SERVER_RETENTION
+from .const import FORMER_SERVER_RETENTION, REMOVAL_READ_DELAY
 from .known_server import KnownServer
 from .messages import BackendServer, ServerState
 from .revision import Revision
@@ -42,7 +42,7 @@
         """
         self._clock = clock
         self._outage = outage
-        self._entry_lifetime = entry_lifetime
+        self._unrenewed_lifetime = entry_lifetime + REMOVAL_READ_DELAY
         self._log = log
         self._restored_to = Revision()
         self._known: dict[str, KnownServer] = {}
@@ -149,7 +149,7 @@
         now = self._clock.monotonic()
         known = self._known[server.identity] = KnownServer(server, now)
         if not is_confirmed:
-            known.unconfirmed_until = now + self._entry_lifetime
+            known.unconfirmed_until = now + self._unrenewed_lifetime
         self._log.record_change(
             "server_seen",
             server=server.identity,
@@ -171,7 +171,7 @@
             return
         if known.server.supersedes(listed):
             known.older = listed
-            known.older_from = self._clock.monotonic() + self._entry_lifetime
+            known.older_from = self._clock.monotonic() + self._unrenewed_lifetime
             self._log_outdated(listed)
         known.server = msgspec.structs.replace(known.server, revision=listed.revision)
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -226,6 +226,28 @@
 
         run_followed(async_test)
 
+    def test_entry_of_the_copy_that_expires(self) -> None:
+        """A server that has left gets no flow before the removal is read."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Let the copy's entry expire while the follower batches changes."""
+            followed.source.write(entry(started_ms=STARTED_MS, sequence=3))
+            copy = followed.source.copy()
+            followed.source.write(
+                entry(started_ms=STARTED_MS, sequence=7, state=ServerState.LEAVING)
+            )
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(ENTRY_LIFETIME.total_seconds() - 0.1)
+            followed.source.write(configuration(5))
+            await asyncio.sleep(0.1)
+            followed.source.write(RemovedItem(identity="server-1"))
+            for _ in range(10):
+                self.assertEqual(followed.candidates, [])
+                await asyncio.sleep(0.2)
+
+        run_followed(async_test)
+
     def test_leaving_server_that_the_copy_lacks(self) -> None:
         """Its flows keep their owner until the server has written its entry again."""
 
