Directory: log when operators confirm a contested zone

A zone that a restored copy contradicts left a line when it was contested, and none when the operators wrote it again. No decision changes. The existing test of a lost evacuation checks the line.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -319,13 +319,19 @@
 
     def _take_out_zone(self, zone: str, revision: Revision) -> None:
         """Exclude a zone from new flows."""
+        was_contested = self._zones_out.is_contested(zone)
         if self._zones_out.add(zone, revision):
             self._log.record_change("zone_out", zone=zone)
+        elif was_contested:
+            self._log.write("zone_confirmed", zone=zone, is_out=True)
 
     def _restore_zone(self, zone: str) -> None:
         """Allow new flows to a zone again."""
+        was_contested = self._zones_out.is_contested(zone)
         if self._zones_out.remove(zone):
             self._log.record_change("zone_back", zone=zone)
+        elif was_contested:
+            self._log.write("zone_confirmed", zone=zone, is_out=False)
 
     def _replace_zones(self, listing: Listing, is_restored: bool) -> None:
         """Apply the zones of a full listing, unless a restore contradicts them."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -7,6 +7,8 @@
 from datetime import timedelta
 from typing import Final
 
+import msgspec
+
 from harness.flow_fleet import MemoryLogWriter
 from harness.virtual_time import VirtualClock, run_in_virtual_time
 from pomelotrail_core.counters import Counters
@@ -39,8 +41,11 @@
         clock = VirtualClock()
         self.source = MemorySource(configuration(4, COLD_FLOWS_PER_S))
         self.counters = Counters()
-        log = EventLog("test", clock, MemoryLogWriter())
-        self.directory = Directory(clock, log, self.counters, ENTRY_LIFETIME)
+        self._lines = MemoryLogWriter()
+        self._event_log = EventLog("test", clock, self._lines)
+        self.directory = Directory(
+            clock, self._event_log, self.counters, ENTRY_LIFETIME
+        )
         follower = DirectoryFollower(
             self.source, self.directory, clock, random.Random(1)
         )
@@ -51,6 +56,13 @@
         """Return the identities of the servers that may get new flows."""
         return [each.identity for each in self.directory.candidates("ledger")]
 
+    @property
+    def logged_events(self) -> list[str]:
+        """Return the events of all log lines."""
+        self._event_log.flush()
+        lines = self._lines.content.splitlines()
+        return [msgspec.json.decode(line)["event"] for line in lines]
+
     @property
     def possible_owners(self) -> list[str]:
         """Return the identities of the servers that may own flows."""
@@ -301,6 +313,7 @@
             followed.source.write(ZoneItem("zone-1"))
             await asyncio.sleep(2 * REWRITE_SECONDS)
             self.assertEqual(followed.candidates, [])
+            self.assertIn("zone_confirmed", followed.logged_events)
 
         run_followed(async_test)
 
