HTTP client: a connection that goes silent fails after three seconds

What callers would see: an older configuration for up to 5 s after a change, and for a second longer than the 4 s after which the limit of 3 s holds again (CONFIG), when the connection to the store went silent without a reset.

Cause: nothing but the time-out of the watch, its wait and a margin, detected the silent connection.

The kernel now probes an idle connection, and unacknowledged requests time out as well. No call to the store is added.

--- a/packages/pomelotrail-core/pomelotrail_core/http_client.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_client.py
@@ -1,6 +1,8 @@
 """An HTTP/1.1 client connection for requests without a body."""
 
 import asyncio
+import socket
+from datetime import timedelta
 from typing import Final
 
 import httptools
@@ -9,6 +11,15 @@
 from pomelotrail_core.endpoint import Endpoint
 
 _READ_BYTES: Final = 65_536
+# The kernel probes a connection that has been idle for _KEEPALIVE_IDLE, with
+# _KEEPALIVE_INTERVAL between probes. The connection fails if a probe or a request isn't
+# acknowledged for _ACKNOWLEDGEMENT_TIMEOUT.
+_KEEPALIVE_IDLE: Final = timedelta(seconds=1)
+_KEEPALIVE_INTERVAL: Final = timedelta(seconds=1)
+_KEEPALIVE_PROBES: Final = 2
+_ACKNOWLEDGEMENT_TIMEOUT: Final = (
+    _KEEPALIVE_IDLE + _KEEPALIVE_PROBES * _KEEPALIVE_INTERVAL
+)
 
 
 class HttpError(Exception):
@@ -30,7 +41,8 @@
         response = await connection.async_get("/items?after=7")
 
     After an error or a timeout the connection must be closed, because the rest of a
-    response may still arrive.
+    response may still arrive. A connection that goes silent while a request waits for
+    its response fails after three seconds.
     """
 
     def __init__(
@@ -42,17 +54,24 @@
         self._host = host
         self._keeps_alive = True
 
-    @classmethod
-    async def async_open(cls, endpoint: Endpoint) -> "HttpConnection":
-        """Connect to a server."""
-        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
-        return cls(reader, writer, str(endpoint))
+    @property
+    def transport_socket(self) -> socket.socket:
+        """Return the socket of the stream."""
+        return self._writer.get_extra_info("socket")
 
     @property
     def is_finished(self) -> bool:
         """Return whether the connection can't be used for another request."""
         return not self._keeps_alive
 
+    @classmethod
+    async def async_open(cls, endpoint: Endpoint) -> "HttpConnection":
+        """Connect to a server."""
+        reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        connection = cls(reader, writer, str(endpoint))
+        _enable_keepalive(connection.transport_socket)
+        return connection
+
     async def async_get(self, target: str) -> HttpResponse:
         """Send a GET request and return the complete response."""
         head = f"GET {target} HTTP/1.1\r\nHost: {self._host}\r\n\r\n"
@@ -72,6 +91,19 @@
         self._writer.transport.abort()
 
 
+def _enable_keepalive(connection: socket.socket) -> None:
+    """Let the kernel detect a peer that has gone silent."""
+    options = {
+        socket.TCP_KEEPIDLE: _KEEPALIVE_IDLE // timedelta(seconds=1),
+        socket.TCP_KEEPINTVL: _KEEPALIVE_INTERVAL // timedelta(seconds=1),
+        socket.TCP_KEEPCNT: _KEEPALIVE_PROBES,
+        socket.TCP_USER_TIMEOUT: _ACKNOWLEDGEMENT_TIMEOUT // timedelta(milliseconds=1),
+    }
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in options.items():
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class _ResponseParser:
     """Parses one response; the ``on_...`` methods are callbacks of the parser."""
 
