Directory: an evacuation that a restored copy lacks holds until operators can have written it again

What callers would see: new flows in an evacuated zone (EVAC), three seconds after a restore, if the operators write the evacuation again later than servers write their entries. Found by reading; nothing says how soon operators write.

The zone now stays out for ten seconds more. A zone whose evacuation had ended is still taken out after three seconds, which is the safe side there.

test_evacuation_that_is_written_again_late failed before (a candidate after 3 s).

--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -13,8 +13,8 @@
 # Changes in quick succession are read by one call. The limits that operators set on
 # the time until a change is in force are 3 s or more.
 CHANGE_BATCH_WINDOW: Final = timedelta(milliseconds=800)
-# Time in which a removal is read: a batch of changes and a call.
-REMOVAL_READ_DELAY: Final = CHANGE_BATCH_WINDOW + timedelta(milliseconds=200)
+# Time in which a change is read: a batch of changes and a call.
+READ_DELAY: Final = CHANGE_BATCH_WINDOW + timedelta(milliseconds=200)
 # The retry delay doubles after each failed call, up to the maximum.
 INITIAL_RETRY_DELAY: Final = timedelta(milliseconds=100)
 MAX_RETRY_DELAY: Final = timedelta(milliseconds=800)
@@ -29,6 +29,9 @@
 CHECK_TIMEOUT: Final = timedelta(milliseconds=400)
 # A missing entry is attributed to an outage for this long after the outage ended.
 OUTAGE_ATTRIBUTION_WINDOW: Final = timedelta(seconds=4)
+# Operators may write the evacuation of a zone again later than servers write their
+# entries. Until then the zone must get no new flows.
+MISSING_ZONE_GRACE: Final = timedelta(seconds=10)
 # Flows may stay open this long on a backend server whose entry was removed.
 FORMER_SERVER_RETENTION: Final = timedelta(seconds=60)
 # Servers crash one by one, or a zone of three or more at once. When at least this
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -11,9 +11,10 @@
 
 from .change_log import ChangeLog
 from .const import (
-    CHANGE_BATCH_WINDOW,
+    MISSING_ZONE_GRACE,
     OUTAGE_LOST_SHARE,
     OUTAGE_MIN_LOST,
+    READ_DELAY,
 )
 from .messages import (
     BackendServer,
@@ -343,8 +344,10 @@
         self._zones_out.forget_settled(listed)
         if is_restored:
             # An entry that is written again in time may still wait to be read.
-            deadline = self._outage.grace_end + CHANGE_BATCH_WINDOW
-            self._zones_out.reconcile(listed, deadline)
+            end = self._outage.grace_end + READ_DELAY
+            self._zones_out.reconcile(
+                listed, missing_until=end + MISSING_ZONE_GRACE, ended_until=end
+            )
         for zone in sorted(self._zones_out.names | listed.keys()):
             if self._zones_out.is_contested(zone):
                 self._log.write(
--- a/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
@@ -9,7 +9,7 @@
 from pomelotrail_core.offers import MISSING_ENTRY_GRACE
 
 from .change_log import ChangeLog
-from .const import FORMER_SERVER_RETENTION, REMOVAL_READ_DELAY
+from .const import FORMER_SERVER_RETENTION, READ_DELAY
 from .known_server import KnownServer
 from .messages import BackendServer, ServerState
 from .revision import Revision
@@ -42,7 +42,7 @@
         """
         self._clock = clock
         self._outage = outage
-        self._unrenewed_lifetime = entry_lifetime + REMOVAL_READ_DELAY
+        self._unrenewed_lifetime = entry_lifetime + READ_DELAY
         self._log = log
         self._restored_to = Revision()
         self._known: dict[str, KnownServer] = {}
--- a/packages/pomelotrail-core/pomelotrail_core/directory/zones_out.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/zones_out.py
@@ -21,7 +21,7 @@
     A restored source may lack an entry, or have one whose removal was read before. What
     was known stays in force until the operators write it again or the deadline passes::
 
-        zones.reconcile(listed, deadline=now + grace)
+        zones.reconcile(listed, missing_until=now + long, ended_until=now + short)
         ...
         for zone, revision in zones.pop_overdue(now):
             ...
@@ -61,14 +61,23 @@
             if listed.get(zone) == contest.listed
         }
 
-    def reconcile(self, listed: Mapping[str, Revision], deadline: timedelta) -> None:
-        """Keep what was known where the listing of a restored source contradicts it."""
+    def reconcile(
+        self,
+        listed: Mapping[str, Revision],
+        missing_until: timedelta,
+        ended_until: timedelta,
+    ) -> None:
+        """Keep what was known where the listing of a restored source contradicts it.
+
+        A zone whose entry is missing stays out until ``missing_until``, and one whose
+        entry had been removed stays in service until ``ended_until``.
+        """
         for zone in self._entries.keys() - listed.keys():
-            self._contests[zone] = _Contest(None, deadline)
+            self._contests[zone] = _Contest(None, missing_until)
         for zone in listed.keys() - self._entries.keys():
             ended = self._ended.get(zone)
             if ended is not None and ended.number == listed[zone].number:
-                self._contests[zone] = _Contest(listed[zone], deadline)
+                self._contests[zone] = _Contest(listed[zone], ended_until)
 
     def is_contested(self, zone: str) -> bool:
         """Return whether what was known of a zone contradicts a restored source."""
