Admission: long work leaves shorter classes slots for their bursts

Cause, traced: five entries arrive within 0.15 s at 19 s. Charts of one second hold three of four slots, since the reservation is the mean demand of the entries, rounded up: 0.8, one slot. A single slot that is busy for 0.8 of the time makes bursts wait for more than 0.4 s, which breaks the target of 0.5 s.

The reservation is the mean and its square root now, at most an equal share as before.

--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/order.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/order.py
@@ -144,10 +144,13 @@
     """Return the slots that long work must leave to shorter classes.
 
     The shorter classes get the slots that their arrivals need, and one more while
-    they miss their target, but no more than an equal share of the limit.
+    they miss their target, but no more than an equal share of the limit. Requests
+    arrive in bursts, which wait too long if the slots are busy with the mean already,
+    so the square root of the mean is added.
     """
-    demand = math.ceil(sum(each.slot_demand(now) for each in shorter))
+    demand = sum(each.slot_demand(now) for each in shorter)
+    needed = math.ceil(demand + math.sqrt(demand))
     is_missing = any(each.shortfall(now) > 0 for each in shorter)
     active = sum(each.is_active or each in shorter for each in states)
     equal_share = max(1, limit * len(shorter) // active)
-    return min(demand + is_missing, equal_share)
+    return min(needed + is_missing, equal_share)
--- a/packages/pomelotrail-companion/pomelotrail_companion/admission/tests/test_invariants.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/admission/tests/test_invariants.py
@@ -162,6 +162,9 @@
     """No class starves while another one is overloaded."""
 
     @settings(max_examples=25)
+    @example(0, 6.0, 0.201171875)
+    @example(0, 6.0, 0.15)
+    @example(3, 6.0, 0.25)
     @given(st.integers(0, 10_000), st.floats(1.5, 6.0), st.floats(0.02, 0.25))
     def test_overload_of_charts_leaves_entries_their_target(
         self, seed: int, overload: float, entries: float
