Offers: values out of range are not believed

What callers would see: no reset of dead flows for as long as a balancer claims that entries may be missing (a lookup with 10^9 ms was believed and handed on to other balancers), or a server without a queue (slots 10^7). Replies and pongs were checked already.

The fields of offers and lookups have the ranges that the configuration and the entries of servers have; a grace period is at most its own length. Such a message is counted as malformed, and the first one is logged with its sender (message_malformed).

test_grace_period_longer_than_any and test_offers_out_of_range failed before.

--- a/harness/tests/test_hostile_datagrams.py
+++ b/harness/tests/test_hostile_datagrams.py
@@ -4,8 +4,10 @@
 end its process.
 """
 
+import asyncio
 import unittest
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -34,6 +36,7 @@
     Pong,
     Probe,
     ProbeRequest,
+    decode,
     encode,
 )
 
@@ -142,3 +145,52 @@
         self.assertEqual(handled, [b"good"])
         self.assertEqual(counters.value("datagrams_failed"), 1)
         self.assertIn(b"no such number", lines.content)
+
+
+class ImplausibleValuesTest(unittest.TestCase):
+    """A balancer's message with a value out of range is counted, not believed."""
+
+    def test_grace_period_longer_than_any(self) -> None:
+        """Balancers that ask later aren't told that entries may be missing."""
+
+        async def async_test() -> tuple[LookupReply, int | None, int]:
+            """Send two lookups with a long grace period, and a usual one."""
+            fleet = FlowFleet(servers=1)
+            (companion,) = fleet.servers
+            replies = []
+            balancer = ("192.0.2.99", FLEET_PORT)
+            fleet.network.listen(balancer, lambda data, _: replies.append(decode(data)))
+            send = fleet.network.sender(balancer)
+            for lookup in (
+                Lookup(1, SERVICE, (), unsettled_ms=10**9),
+                Lookup(2, SERVICE, (), unsettled_ms=-1),
+                Lookup(3, SERVICE, ()),
+            ):
+                send(encode(lookup), (companion, FLEET_PORT))
+            await asyncio.sleep(1)
+            fleet.log.flush()
+            logged = fleet.lines.content.count(b"message_malformed")
+            return replies[-1], fleet.counters.value("messages_malformed"), logged
+
+        reply, malformed, logged = run_in_virtual_time(async_test())
+        self.assertEqual((reply.number, reply.unsettled_ms), (3, 0))
+        self.assertEqual((malformed, logged), (2, 1))
+
+    def test_offers_out_of_range(self) -> None:
+        """No field may have a value that operators and servers can't set."""
+        offer = Offer(1, SERVICE, 4, 4, 2.0, 1, 250, b"")
+        self.assertEqual(decode(encode(offer)), offer)
+        for field, value in (
+            ("limit", -1),
+            ("slots", 10**7),
+            ("cold_per_s", -0.5),
+            ("cold_per_s", float("nan")),
+            ("cold_per_s", float("inf")),
+            ("priority", -1),
+            ("target_ms", 10**9),
+            ("unsettled_ms", 2_001),
+            ("era", -1),
+        ):
+            with self.subTest(field=field, value=value):
+                changed = msgspec.structs.replace(offer, **{field: value})
+                self.assertIsNone(decode(encode(changed)))
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -114,11 +114,11 @@
             case Ping(number):
                 self._admission.handle_ping(number, sender)
             case ProbeRequest() as request:
-                self._relay_probe(request)
+                self._relay_probe(request, sender)
             case Probe(packet, balancer) if len(balancer) == PACKED_ENDPOINT_BYTES:
                 self._handle_packet(packet, unpack_address(balancer))
             case _:
-                self._counters.add("messages_malformed")
+                self._record_malformed_message(sender)
 
     def receive_packet(self, data: bytes, sender: Address) -> None:
         """Handle a packet that a balancer forwarded."""
@@ -175,19 +175,28 @@
         else:
             self._ownership.deny(packet, packet.mark, balancer)
 
-    def _relay_probe(self, request: ProbeRequest) -> None:
+    def _relay_probe(self, request: ProbeRequest, sender: Address) -> None:
         """Send the packet of a balancer on a slow link to several companions."""
         addresses = request.addresses
         if len(addresses) > MAX_PROBES_PER_REQUEST or any(
             len(each) != PACKED_ENDPOINT_BYTES for each in addresses
         ):
-            self._counters.add("messages_malformed")
+            self._record_malformed_message(sender)
             return
         message = encode(Probe(request.packet, request.balancer))
         for address in addresses:
             self._send_message(message, unpack_address(address))
         self._counters.add("probes_relayed", len(addresses))
 
+    def _record_malformed_message(self, sender: Address) -> None:
+        """Count a message that can't be read or has a value out of range.
+
+        The first one is logged with its sender.
+        """
+        if not self._counters.value("messages_malformed"):
+            self._log.write(_PART, "message_malformed", sender=sender[0])
+        self._counters.add("messages_malformed")
+
     def _matches_flow(self, entry: ServerFlow, packet: Packet) -> bool:
         """Return whether a packet belongs to the flow that this server accepted."""
         if entry.is_open:
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -2,13 +2,23 @@
 
 They are ``msgspec`` structures instead of ``attrs`` classes because the codec of
 ``msgspec`` encodes its structures as arrays without field names: an offer takes 20
-bytes in addition to its packet.
+bytes in addition to its packet. Offers and lookups with a value that operators and
+servers can't have set are malformed.
 """
 
 import enum
+from typing import Annotated
 
 import msgspec
 
+from .const import MAX_COUNT, MAX_DURATION_MS, MISSING_ENTRY_GRACE_MS
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_DurationMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+_GraceMs = Annotated[int, msgspec.Meta(ge=0, le=MISSING_ENTRY_GRACE_MS)]
+_Era = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class Outcome(enum.IntEnum):
     """The result of an offer."""
@@ -40,14 +50,14 @@
 
     number: int
     service: str
-    limit: int
-    slots: int
-    cold_per_s: float | None
-    priority: int
-    target_ms: int
+    limit: _Count
+    slots: _Count
+    cold_per_s: _Rate | None
+    priority: _Count
+    target_ms: _DurationMs
     packet: bytes
-    unsettled_ms: int = 0
-    era: int = 0
+    unsettled_ms: _GraceMs = 0
+    era: _Era = 0
 
 
 class OfferReply(_Message, tag=2):
@@ -81,9 +91,9 @@
     number: int
     service: str
     flows: tuple[bytes, ...]
-    unsettled_ms: int = 0
+    unsettled_ms: _GraceMs = 0
     server_started_ms: int = 0
-    era: int = 0
+    era: _Era = 0
 
 
 class LookupReply(_Message, tag=8):
