--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
@@ -23,10 +23,11 @@
 
 from .const import PING_INTERVAL
 from .early_packets import EarlyPackets
+from .flow_lookup import FlowLookup
 from .flow_placer import FlowPlacer
 from .flow_table import FlowTable
 from .load_reports import LoadReports
-from .lookups import FlowLookup, Lookups
+from .lookups import Lookups
 from .message_budget import MessageBudget
 from .offer_exchange import OfferExchange
 from .opening_queue import OpeningQueue
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -4,15 +4,13 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import msgspec
-
 from pomelotrail_balancer.placement import Companions, CompanionView
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
 from pomelotrail_core.directory import CompletenessCheck, Directory
 from pomelotrail_core.event_log import EventLog
-from pomelotrail_core.flows import SEQUENCE_RANGE, Packet, flow_text
+from pomelotrail_core.flows import Packet, flow_text
 from pomelotrail_core.offers import LookupReply
 
 from .const import (
@@ -21,12 +19,11 @@
     LOOKUP_IDLE_TIMEOUT,
     LOOKUP_RETRY_INTERVAL,
     LOOKUP_STAGE_TIMEOUT,
-    MAX_HELD_PACKETS,
     MAX_LOOKUPS,
-    MAX_SEQUENCE_DISTANCE,
     MILLISECOND,
     UNSURE_RETENTION,
 )
+from .flow_lookup import FlowLookup
 from .lookup_queries import LookupQueries
 from .message_budget import MessageBudget
 from .reply_time import ReplyTime
@@ -35,58 +32,6 @@
 _PART = "carrying"
 
 
-class FlowLookup(msgspec.Struct, eq=False):
-    """Lookup of the owner of one flow.
-
-    ``first_packet`` started the lookup, ``held_packets`` arrived after it. Servers
-    are listed by identity: those in ``denied`` don't own the flow, those in
-    ``awaited`` were queried and have not replied. ``probed`` maps the address of a
-    companion to the server that a packet was sent to. ``full_rounds`` counts how often
-    all companions that had not denied the flow were queried. ``is_complete`` is set
-    once the directory had all entries that the store had when the lookup started.
-    """
-
-    flow: bytes
-    first_packet: Packet
-    started: timedelta
-    last_packet_at: timedelta
-    due: timedelta
-    held_packets: list[Packet] = msgspec.field(default_factory=list)
-    denied: set[str] = msgspec.field(default_factory=set)
-    awaited: set[str] = msgspec.field(default_factory=set)
-    probed: dict[Address, str] = msgspec.field(default_factory=dict)
-    full_rounds: int = 0
-    is_checking: bool = False
-    is_complete: bool = False
-
-    def without_denial(
-        self, possible_owners: list[CompanionView]
-    ) -> list[CompanionView]:
-        """Return the companions whose server has not denied the flow."""
-        denied = self.denied
-        return [each for each in possible_owners if each.server.identity not in denied]
-
-    def hold(self, packet: Packet) -> None:
-        """Hold a packet until the owner is found."""
-        if (
-            packet.data == self.first_packet.data
-            or len(self.held_packets) >= MAX_HELD_PACKETS
-        ):
-            return
-        self.held_packets.append(packet)
-
-    def is_same_flow(self, packet: Packet) -> bool:
-        """Return whether a packet belongs to the same flow by its sequence number.
-
-        Callers reuse ports; denials of an earlier flow between the same addresses
-        don't apply to the current one.
-        """
-        distance = (
-            packet.acknowledged - self.first_packet.acknowledged
-        ) % SEQUENCE_RANGE
-        return min(distance, SEQUENCE_RANGE - distance) <= MAX_SEQUENCE_DISTANCE
-
-
 class Lookups:
     """Queries the companions of likely owners first, then all others.
 
