Directory: zones out of service decide and log in one place

ZonesOut applies listings, single changes and deadlines, and writes their lines; the directory keeps only what it reads.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -60,7 +60,7 @@
         self._counters = counters
         self._outage = SourceOutage(clock)
         self._servers = ServerEntries(clock, self._outage, entry_lifetime, self._log)
-        self._zones_out = ZonesOut()
+        self._zones_out = ZonesOut(clock, self._log)
         self._configuration: PublishedConfiguration | None = None
         self._usable = asyncio.Event()
         self._first_listed: timedelta | None = None
@@ -114,7 +114,6 @@
     @property
     def zones_out(self) -> frozenset[str]:
         """Return the availability zones that are out of service."""
-        self._apply_overdue_zones()
         return self._zones_out.names
 
     async def async_wait_until_usable(self) -> None:
@@ -203,10 +202,10 @@
                 case ConfigurationItem(configuration):
                     self._adopt(configuration)
                 case ZoneItem(zone, zone_revision):
-                    self._take_out_zone(zone, zone_revision)
+                    self._zones_out.take_out(zone, zone_revision)
                 case RemovedItem(identity, zone):
                     self._servers.record_missing(identity, is_restored=False)
-                    self._restore_zone(zone)
+                    self._zones_out.restore(zone)
                 case UnusableItem():
                     self._reject(item)
 
@@ -318,22 +317,6 @@
             "configuration_in_force", routes=len(configuration.routes)
         )
 
-    def _take_out_zone(self, zone: str, revision: Revision) -> None:
-        """Exclude a zone from new flows."""
-        was_contested = self._zones_out.is_contested(zone)
-        if self._zones_out.add(zone, revision):
-            self._log.record_change("zone_out", zone=zone)
-        elif was_contested:
-            self._log.write("zone_confirmed", zone=zone, is_out=True)
-
-    def _restore_zone(self, zone: str) -> None:
-        """Allow new flows to a zone again."""
-        was_contested = self._zones_out.is_contested(zone)
-        if self._zones_out.remove(zone):
-            self._log.record_change("zone_back", zone=zone)
-        elif was_contested:
-            self._log.write("zone_confirmed", zone=zone, is_out=False)
-
     def _replace_zones(self, listing: Listing, is_restored: bool) -> None:
         """Apply the zones of a full listing, unless a restore contradicts them."""
         listed = {
@@ -341,32 +324,13 @@
             for item in listing.items
             if isinstance(item, ZoneItem)
         }
-        self._zones_out.forget_settled(listed)
         if is_restored:
             # An entry that is written again in time may still wait to be read.
             end = self._outage.grace_end + READ_DELAY
-            self._zones_out.reconcile(
+            self._zones_out.contest(
                 listed, missing_until=end + MISSING_ZONE_GRACE, ended_until=end
             )
-        for zone in sorted(self._zones_out.names | listed.keys()):
-            if self._zones_out.is_contested(zone):
-                self._log.write(
-                    "zone_contested",
-                    zone=zone,
-                    is_out=zone in self._zones_out.names,
-                )
-            elif zone in listed:
-                self._take_out_zone(zone, listed[zone])
-            else:
-                self._restore_zone(zone)
-
-    def _apply_overdue_zones(self) -> None:
-        """Apply what a restored store says of zones, as nothing else was written."""
-        for zone, revision in self._zones_out.pop_overdue(self._clock.monotonic()):
-            if revision is None:
-                self._restore_zone(zone)
-            else:
-                self._take_out_zone(zone, revision)
+        self._zones_out.replace(listed)
 
     def _reject(self, item: UnusableItem) -> None:
         """Log an entry that can't be parsed and remove the one that it replaces."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -382,14 +382,36 @@
             await asyncio.sleep(1)
             await followed.async_restore(copy)
             await asyncio.sleep(1)
+            followed.stop()
             followed.source.write(ZoneItem("zone-1"))
             listing = await followed.source.async_list(timedelta(seconds=1))
             followed.directory.replace(listing.ok_value)
-            await asyncio.sleep(2 * REWRITE_SECONDS)
+            await asyncio.sleep(REWRITE_SECONDS + OPERATOR_REWRITE_SECONDS + 2)
             self.assertEqual(followed.candidates, [])
 
         run_followed(async_test)
 
+    def test_end_of_an_evacuation_read_by_another_listing(self) -> None:
+        """A contested zone follows a later listing without its evacuation."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """End the evacuation again before the history is lost."""
+            followed.source.write(entry())
+            followed.source.write(ZoneItem("zone-1"))
+            copy = followed.source.copy()
+            followed.source.write(RemovedItem(zone="zone-1"))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(1)
+            followed.stop()
+            followed.source.write(RemovedItem(zone="zone-1"))
+            listing = await followed.source.async_list(timedelta(seconds=1))
+            followed.directory.replace(listing.ok_value)
+            await asyncio.sleep(2 * REWRITE_SECONDS)
+            self.assertEqual(followed.candidates, ["server-1"])
+
+        run_followed(async_test)
+
     def test_evacuation_just_after_a_restore(self) -> None:
         """It is in force although the copy has an earlier one that has ended."""
 
