Tests of the directory: the followed source has a module of its own, restores three classes

The class that follows a source in memory moves out of the tests that use it, and the tests of servers and of zones get classes of their own; no test changed but one, which also expects the counter and the line of a restore.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restore_properties.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restore_properties.py
@@ -17,7 +17,7 @@
 from pomelotrail_core.endpoint import Endpoint
 
 from .builders import configuration, entry
-from .test_restored_source import (
+from .followed_source import (
     APPLY_SECONDS,
     OPERATOR_REWRITE_SECONDS,
     REWRITE_SECONDS,
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -1,104 +1,24 @@
 """Tests of a source that comes back from an older copy."""
 
 import asyncio
-import random
 import unittest
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Final
-
-import msgspec
-
-from harness.flow_fleet import MemoryLogWriter
-from harness.virtual_time import VirtualClock, run_in_virtual_time
-from pomelotrail_core.counters import Counters
-from pomelotrail_core.directory import (
-    Directory,
-    DirectoryFollower,
-    RemovedItem,
-    ServerState,
-    ZoneItem,
-)
-from pomelotrail_core.event_log import EventLog
+
+from pomelotrail_core.directory import RemovedItem, ServerState, ZoneItem
 
 from .builders import ENTRY_LIFETIME, configuration, entry
-from .memory_source import MemorySource, SourceCopy
-
-# Operators' limit on the time from the confirmation of a change until it is in force.
-APPLY_SECONDS: Final = 3.0
-OUTAGE_SECONDS: Final = 2.0
-# What the restored source lacks is written again within this time, or gone.
-REWRITE_SECONDS: Final = 2.0
-# Operators may write later, and an evacuated zone must not get flows until then.
-OPERATOR_REWRITE_SECONDS: Final = 10.0
-COLD_FLOWS_PER_S: Final = 8.0
-STARTED_MS: Final = 1_780_000_000_000
-
-
-class FollowedSource:
-    """A source in memory and a directory that follows it."""
-
-    def __init__(self) -> None:
-        """Start to follow a source with a configuration."""
-        clock = VirtualClock()
-        self.source = MemorySource(configuration(4, COLD_FLOWS_PER_S))
-        self.counters = Counters()
-        self._lines = MemoryLogWriter()
-        self._event_log = EventLog("test", clock, self._lines)
-        self.directory = Directory(
-            clock, self._event_log, self.counters, ENTRY_LIFETIME
-        )
-        follower = DirectoryFollower(
-            self.source, self.directory, clock, random.Random(1)
-        )
-        self._following = asyncio.create_task(follower.async_follow())
-
-    @property
-    def candidates(self) -> list[str]:
-        """Return the identities of the servers that may get new flows."""
-        return [each.identity for each in self.directory.candidates("ledger")]
-
-    @property
-    def logged_events(self) -> list[str]:
-        """Return the events of all log lines."""
-        self._event_log.flush()
-        lines = self._lines.content.splitlines()
-        return [msgspec.json.decode(line)["event"] for line in lines]
-
-    @property
-    def possible_owners(self) -> list[str]:
-        """Return the identities of the servers that may own flows."""
-        return [each.identity for each in self.directory.possible_owners()]
-
-    async def async_restore(
-        self, copy: SourceCopy, outage_s: float = OUTAGE_SECONDS
-    ) -> None:
-        """Restore the source from a copy during an outage."""
-        self.source.is_reachable = False
-        await asyncio.sleep(outage_s)
-        self.source.restore(copy)
-        self.source.is_reachable = True
-
-    def stop(self) -> None:
-        """Stop following."""
-        self._following.cancel()
-
-
-def run_followed(test: Callable[[FollowedSource], Awaitable[None]]) -> None:
-    """Run a test with a source that is followed."""
-
-    async def async_run() -> None:
-        """Follow the source while the test runs."""
-        followed = FollowedSource()
-        await asyncio.sleep(1)
-        await test(followed)
-        followed.stop()
-
-    run_in_virtual_time(async_run())
+from .followed_source import (
+    APPLY_SECONDS,
+    OPERATOR_REWRITE_SECONDS,
+    REWRITE_SECONDS,
+    STARTED_MS,
+    FollowedSource,
+    run_followed,
+)
 
 
 class RestoredSourceTest(unittest.TestCase):
-    """What is in force after a restore."""
+    """A restore is noticed whatever calls were under way."""
 
     def test_change_just_after_a_restore_is_in_force(self) -> None:
         """The change gets a number that a lost change had, and is read all the same."""
@@ -114,6 +34,8 @@
             followed.source.write(configuration(16))
             await asyncio.sleep(APPLY_SECONDS)
             self.assertEqual(followed.directory.version, 16)
+            self.assertEqual(followed.counters.value("store_restores"), 1)
+            self.assertIn("source_restored", followed.logged_events)
 
         run_followed(async_test)
 
@@ -164,6 +86,10 @@
 
         run_followed(async_test)
 
+
+class RestoredServersTest(unittest.TestCase):
+    """Which entry of a server holds, the copy's or the one that was known."""
+
     def test_server_that_announced_its_end_before_a_restore(self) -> None:
         """It gets no new flow, although the copy has it as ready."""
 
@@ -299,6 +225,43 @@
 
         run_followed(async_test)
 
+    def test_address_taken_over_before_a_restore(self) -> None:
+        """The later server keeps the address that the copy gives to the earlier one."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose the entry of the second server at an address."""
+            followed.source.write(entry(started_ms=STARTED_MS))
+            copy = followed.source.copy()
+            followed.source.write(
+                entry(identity="server-2", started_ms=STARTED_MS + 5_000)
+            )
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            await asyncio.sleep(1)
+            self.assertEqual(followed.candidates, ["server-2"])
+
+        run_followed(async_test)
+
+    def test_warm_server_stays_warm_after_a_restore(self) -> None:
+        """An entry that was known already doesn't start its warm-up again."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Restore a copy that has the entry of a server that is warm by now."""
+            followed.source.write(
+                entry(started_ms=STARTED_MS, cold_for=timedelta(seconds=2))
+            )
+            await asyncio.sleep(3)
+            await followed.async_restore(followed.source.copy())
+            await asyncio.sleep(1)
+            (server,) = followed.directory.candidates("ledger")
+            self.assertIsNone(followed.directory.cold_flows_per_s(server))
+
+        run_followed(async_test)
+
+
+class RestoredZonesTest(unittest.TestCase):
+    """Zones stay as they were until operators have written again."""
+
     def test_evacuation_that_the_copy_lacks(self) -> None:
         """The zone stays out until the operators have written it again."""
 
@@ -429,36 +392,3 @@
             self.assertEqual(followed.candidates, [])
 
         run_followed(async_test)
-
-    def test_address_taken_over_before_a_restore(self) -> None:
-        """The later server keeps the address that the copy gives to the earlier one."""
-
-        async def async_test(followed: FollowedSource) -> None:
-            """Lose the entry of the second server at an address."""
-            followed.source.write(entry(started_ms=STARTED_MS))
-            copy = followed.source.copy()
-            followed.source.write(
-                entry(identity="server-2", started_ms=STARTED_MS + 5_000)
-            )
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
-            await asyncio.sleep(1)
-            self.assertEqual(followed.candidates, ["server-2"])
-
-        run_followed(async_test)
-
-    def test_warm_server_stays_warm_after_a_restore(self) -> None:
-        """An entry that was known already doesn't start its warm-up again."""
-
-        async def async_test(followed: FollowedSource) -> None:
-            """Restore a copy that has the entry of a server that is warm by now."""
-            followed.source.write(
-                entry(started_ms=STARTED_MS, cold_for=timedelta(seconds=2))
-            )
-            await asyncio.sleep(3)
-            await followed.async_restore(followed.source.copy())
-            await asyncio.sleep(1)
-            (server,) = followed.directory.candidates("ledger")
-            self.assertIsNone(followed.directory.cold_flows_per_s(server))
-
-        run_followed(async_test)
