--- a/measurements/__main__.py
+++ b/measurements/__main__.py
@@ -10,7 +10,9 @@
 
 from measurements.interface import Measurement, MeasurementOptions
 
-_SUPPORT_MODULES: Final = frozenset({"__main__", "callers", "interface", "tests"})
+_SUPPORT_MODULES: Final = frozenset(
+    {"__main__", "ablation", "callers", "goodput", "interface", "tests"}
+)
 
 
 def main() -> None:
