Lookups: each flow needs a token of the budget

Hypothesis: balancers on links of 5 Mbit/s don't recover from a kill of everything, because a round of lookups overdraws the budget by all flows that are due. All suspicions come from ten of the eleven small balancers; their lookups take 3 to 7 s, their load reports are 2 to 7 s old.

Cause: the budget was checked once a round. A lookup whose relayed probes got no reply in time sends its packet to up to 42 servers, 40 KB; thirty at once are two seconds of the link, so the replies to all of them are late too.

Change: the budget is checked for each flow.

test_repeated_probes_leave_the_link_to_new_flows failed before (0.41 s, 0.2 s allowed).

--- a/harness/tests/test_slow_links.py
+++ b/harness/tests/test_slow_links.py
@@ -1,6 +1,7 @@
 """Balancers on slow links, when all of their flows are unknown."""
 
 import asyncio
+import itertools
 import random
 import unittest
 from typing import Final
@@ -53,6 +54,42 @@
         self.assertEqual(late, [])
 
 
+class UnansweredProbesTest(unittest.TestCase):
+    """Many flows are looked up, and relayed probes get no reply."""
+
+    def test_repeated_probes_leave_the_link_to_new_flows(self) -> None:
+        """Probes that are due together are sent one by one as the budget allows."""
+
+        async def async_run() -> list[float]:
+            """Return how long new flows take to open while the others are looked up."""
+            fleet = FlowFleet(servers=SERVERS, slots=4)
+            callers = [fleet.caller() for _ in range(CALLERS)]
+            for caller in callers:
+                await caller.async_open_and_request(b"one")
+            fleet.network.blocked_pairs = set(itertools.permutations(fleet.servers, 2))
+            fleet.restart_companions()
+            fleet.start_balancer(SMALL_BALANCER)
+            fleet.network.limit_link(SMALL_BALANCER, SLOW_LINK_BYTES_PER_S)
+            requests = [
+                asyncio.create_task(caller.async_send_request(REQUEST, 50))
+                for caller in callers
+            ]
+            await asyncio.sleep(RECOVERY_S)
+            response_times = []
+            loop = asyncio.get_running_loop()
+            for _ in range(20):
+                started = loop.time()
+                await fleet.caller().async_open_and_request(b"new")
+                response_times.append(loop.time() - started)
+                await asyncio.sleep(0.1)
+            for request in requests:
+                request.cancel()
+            return response_times
+
+        response_times = run_in_virtual_time(async_run())
+        self.assertLessEqual(max(response_times), TARGET_S)
+
+
 class LateReplyTest(unittest.TestCase):
     """Replies to offers that wait at a slow link."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -199,12 +199,11 @@
         self._round_timer = None
         now = self._clock.monotonic()
         possible_owners = self._companions.possible_owners()
-        may_send = self._budget.has_tokens(now)
         for lookup in list(self._pending.values()):
             if now - lookup.last_packet_at >= LOOKUP_IDLE_TIMEOUT:
                 self._abandon(lookup, now)
             elif lookup.due <= now:
-                self._continue_lookup(lookup, possible_owners, may_send, now)
+                self._continue_lookup(lookup, possible_owners, now)
         self._budget.spend(self._queries.send())
         if self._pending:
             due = min(each.due for each in self._pending.values())
@@ -214,7 +213,6 @@
         self,
         lookup: FlowLookup,
         possible_owners: list[CompanionView],
-        may_send: bool,
         now: timedelta,
     ) -> None:
         """Query the companions that have not denied a flow, or end its lookup."""
@@ -222,7 +220,7 @@
         if not remaining:
             self._end_denied(lookup, now)
             return
-        if not may_send:
+        if not self._budget.has_tokens(now):
             self._counters.add("lookups_postponed")
             lookup.due = now + LOOKUP_STAGE_TIMEOUT
             return
