Soak: datagrams between companions don't raise, and exceptions in callbacks are violations

Relayed probes go from companion to companion. The soak's link of a companion knew the balancers' addresses only, and raised KeyError for each such datagram; the loop printed it and the run passed. An exception in a callback is a violation now: failed with it (KeyError) and passes since the link drops what isn't from a balancer. So in the soak companions can't reach each other, and balancers must do without relays.

--- a/soak/links.py
+++ b/soak/links.py
@@ -31,6 +31,7 @@
 
     The companion receives the datagrams of each balancer from a separate
     address of the link, and answers to it; balancers send to a single address.
+    Companions don't reach each other, so balancers must do without their relays.
     """
 
     def __init__(
@@ -69,8 +70,8 @@
 
         def forward_to_companion(data: bytes, sender: Address) -> None:
             """Forward a balancer's datagram to the companion."""
-            impairment = self.impairments[sender[0]]
-            if not impairment.forward_cut:
+            impairment = self.impairments.get(sender[0])
+            if impairment is not None and not impairment.forward_cut:
                 self._send(
                     impairment, companion_sockets[sender[0]], data, (companion, port)
                 )
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any
 
 import attrs
 
@@ -55,6 +56,7 @@
 
     async def async_run(self, seed: int) -> SeedResult:
         """Inject all faults, then check the fleet without faults."""
+        asyncio.get_running_loop().set_exception_handler(self._record_exception)
         ports = [*PORTS.values(), MOVING_PORT]
         tasks = [
             asyncio.create_task(self._async_run_caller(port, f"{port}-{index}"))
@@ -77,6 +79,13 @@
             [each.value for each in self._injector.injected],
         )
 
+    def _record_exception(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Record an exception in a callback, since the soak has missed something."""
+        problem = context.get("exception", context["message"])
+        self._checker.violations.append(f"exception in the soak: {problem!r}")
+
     async def _async_check_after_faults(self) -> None:
         """Drain a server, take out a zone and change a route, without faults."""
         fleet = self._fleet
