Directory: a server whose start seems older applies once the one at its address is gone

What callers would see: after a restore, a server gets no new flows from a balancer until its entry changes, and a live flow that another balancer placed there may be reset as ownerless.

Cause: after a restore, entries of one address are ordered by the starts that the servers report. Clocks of VMs differ by seconds, so a server that took over an address just after the restore could seem older than the lost entry of its predecessor. Its entry was dropped for good, although the predecessor was removed two seconds later.

Entries that were dropped in favour of another server at the address are kept, and apply when that server is gone. They get no new flows before the entry of a crashed server would have expired, so an entry that was outdated after all gets none.

test_server_whose_clock_is_behind_takes_over_an_address failed before, and so did the property of restores with addresses taken over and servers restarted under clocks that differ (500 examples; 5,000 pass now).

--- a/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
@@ -47,11 +47,12 @@
         self._restored_to = Revision()
         self._known: dict[str, KnownServer] = {}
         self._former: dict[str, KnownServer] = {}
+        self._outdated: dict[str, KnownServer] = {}
 
     @property
     def identities(self) -> list[str]:
-        """Return the servers that are known, whether or not their entry is missing."""
-        return list(self._known)
+        """Return the servers of which an entry was read and not removed."""
+        return list(self._known | self._outdated)
 
     @property
     def ready(self) -> set[str]:
@@ -100,16 +101,24 @@
             self._keep_known(known, server)
             return
         if self._is_outdated(server):
+            self._outdated[server.identity] = self._unconfirmed(server)
             self._log_outdated(server)
             return
+        self._outdated.pop(server.identity, None)
         former = self._former.pop(server.identity, None)
         is_confirmed = (
             former is None
             or server.revision > self._restored_to
             or server.supersedes(former.server)
         )
-        self._remove_reused_address(server)
-        self._record_entry(server, is_confirmed)
+        self._remove_others_at(server)
+        for identity in _identities_at(server.endpoint, self._former):
+            del self._former[identity]
+        self._put_in_force(
+            KnownServer(server, self._clock.monotonic())
+            if is_confirmed
+            else self._unconfirmed(server)
+        )
 
     def record_missing(self, identity: str, is_restored: bool) -> None:
         """Remove a missing entry, or start its grace period in or after an outage.
@@ -117,6 +126,7 @@
         A server that is leaving doesn't write its entry again after an outage, unless
         the store was restored from a copy that lacks the entry.
         """
+        self._outdated.pop(identity, None)
         known = self._known.get(identity)
         if known is None or known.grace_ends is not None:
             return
@@ -130,6 +140,7 @@
 
     def record_unusable(self, identity: str) -> None:
         """Remove a server whose entry can't be parsed."""
+        self._outdated.pop(identity, None)
         if identity in self._known:
             self._remove(identity, "entry_unusable")
 
@@ -144,12 +155,16 @@
             if known.grace_ends is not None:
                 known.grace_ends = self._outage.grace_end
 
-    def _record_entry(self, server: BackendServer, is_confirmed: bool) -> None:
-        """Record an entry that is in force, and log it."""
+    def _unconfirmed(self, server: BackendServer) -> KnownServer:
+        """Return an entry that gets no new flows before a stale one has expired."""
         now = self._clock.monotonic()
-        known = self._known[server.identity] = KnownServer(server, now)
-        if not is_confirmed:
-            known.unconfirmed_until = now + self._unrenewed_lifetime
+        until = now + self._unrenewed_lifetime
+        return KnownServer(server, now, unconfirmed_until=until)
+
+    def _put_in_force(self, known: KnownServer) -> None:
+        """Put an entry in force, and log it."""
+        server = known.server
+        self._known[server.identity] = known
         self._log.record_change(
             "server_seen",
             server=server.identity,
@@ -158,7 +173,7 @@
             state=server.state.value,
             cold_ms=int(server.cold_for.total_seconds() * 1000),
             slots=server.slots,
-            confirmed=is_confirmed,
+            confirmed=known.unconfirmed_until <= self._clock.monotonic(),
         )
 
     def _keep_known(self, known: KnownServer, listed: BackendServer) -> None:
@@ -195,13 +210,22 @@
             for identity in _identities_at(server.endpoint, self._known)
         )
 
-    def _remove_reused_address(self, server: BackendServer) -> None:
+    def _apply_outdated(self) -> None:
+        """Apply the entries that were outdated by a server that is gone.
+
+        Clocks of VMs differ, so the starts of two servers may have the wrong order.
+        """
+        for identity, outdated in list(self._outdated.items()):
+            if not self._is_outdated(outdated.server):
+                del self._outdated[identity]
+                self._remove_others_at(outdated.server)
+                self._put_in_force(outdated)
+
+    def _remove_others_at(self, server: BackendServer) -> None:
         """Remove the entries of other servers that had the address of this one."""
         for identity in _identities_at(server.endpoint, self._known):
             if identity != server.identity:
                 self._remove(identity, "address_reused")
-        for identity in _identities_at(server.endpoint, self._former):
-            del self._former[identity]
 
     def _remove_expired(self) -> None:
         """Remove missing entries and former servers whose time has expired.
@@ -213,9 +237,10 @@
             for identity, known in list(self._known.items()):
                 if known.grace_ends is not None and now >= known.grace_ends:
                     self._remove(identity, "lapse_not_renewed")
+        self._apply_outdated()
         for known in list(self._known.values()):
             if known.older is not None and now >= known.older_from:
-                self._record_entry(known.older, is_confirmed=True)
+                self._put_in_force(KnownServer(known.older, now))
         for identity, known in list(self._former.items()):
             if now - known.recorded_at >= FORMER_SERVER_RETENTION:
                 del self._former[identity]
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restore_properties.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restore_properties.py
@@ -26,6 +26,7 @@
 )
 
 _SERVERS: Final = 2
+_CLOCK_STEP_MS: Final = 5_000
 # Everything is settled after a lost evacuation that nobody writes again and a wait of a
 # watch.
 _SETTLED_SECONDS: Final = REWRITE_SECONDS + OPERATOR_REWRITE_SECONDS + 6
@@ -33,6 +34,7 @@
     st.sampled_from(
         ("publish", "ready", "leaving", "removed", "zone out", "zone back", "copy")
         + ("restore", "restore briefly", "outage", "wait", "wait longer")
+        + ("restart", "restart, clock behind", "take over", "take over, clock behind")
     ),
     st.integers(0, _SERVERS - 1),
 )
@@ -46,7 +48,10 @@
         self._followed = followed
         self._source = followed.source
         self._copy = self._source.copy()
-        self._sequence = 0
+        self._sequences = [0] * _SERVERS
+        self._identities = [f"server-{index}" for index in range(_SERVERS)]
+        self._crashed: list[str] = []
+        self._started_ms = [STARTED_MS] * _SERVERS
         self.version = 4
 
     async def async_apply(self, step: str, index: int) -> None:
@@ -58,7 +63,13 @@
             case "ready" | "leaving":
                 self._source.write(self._entry(index, step))
             case "removed":
-                self._source.write(RemovedItem(identity=f"server-{index}"))
+                self._source.write(RemovedItem(identity=self._identities[index]))
+            case "take over" | "take over, clock behind":
+                self._crashed.append(self._identities[index])
+                self._identities[index] = f"server-{index}-{len(self._crashed)}"
+                self._start(index, is_clock_behind="behind" in step)
+            case "restart" | "restart, clock behind":
+                self._start(index, is_clock_behind="behind" in step)
             case "zone out":
                 self._source.write(ZoneItem(f"zone-{index}"))
             case "zone back":
@@ -76,16 +87,27 @@
             case "wait longer":
                 await asyncio.sleep(3)
 
+    def expire_crashed(self) -> None:
+        """Remove the entries of servers whose addresses others took over."""
+        for identity in self._crashed:
+            self._source.write(RemovedItem(identity=identity))
+
+    def _start(self, index: int, is_clock_behind: bool) -> None:
+        """Start a server anew on a VM whose clock may be behind the earlier one's."""
+        self._started_ms[index] += _CLOCK_STEP_MS * (-1 if is_clock_behind else 1)
+        self._sequences[index] = 0
+        self._source.write(self._entry(index, "ready"))
+
     def _entry(self, index: int, state: str) -> ServerItem:
         """Return the entry of a server, which a later one follows."""
-        self._sequence += 1
+        self._sequences[index] += 1
         return entry(
-            identity=f"server-{index}",
+            identity=self._identities[index],
             endpoint=Endpoint(f"192.0.2.{index + 1}", 8080),
             zone=f"zone-{index}",
             state=ServerState(state),
-            started_ms=STARTED_MS,
-            sequence=self._sequence,
+            started_ms=self._started_ms[index],
+            sequence=self._sequences[index],
         )
 
 
@@ -113,6 +135,7 @@
             await writers.async_apply(step, index)
             self.assertGreaterEqual(followed.directory.version, version)
             version = followed.directory.version
+        writers.expire_crashed()
         await writers.async_apply("publish", 0)
         await asyncio.sleep(APPLY_SECONDS)
         self.assertEqual(followed.directory.version, writers.version)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -242,6 +242,25 @@
 
         run_followed(async_test)
 
+    def test_server_whose_clock_is_behind_takes_over_an_address(self) -> None:
+        """It gets new flows although the lost server there seems to be later."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Lose the entry of a server whose address another one gets."""
+            copy = followed.source.copy()
+            followed.source.write(entry(started_ms=STARTED_MS))
+            await asyncio.sleep(1)
+            await followed.async_restore(copy)
+            followed.source.write(
+                entry(identity="server-2", started_ms=STARTED_MS - 5_000)
+            )
+            await asyncio.sleep(REWRITE_SECONDS + 1)
+            self.assertIn("server-2", followed.possible_owners)
+            await asyncio.sleep(ENTRY_LIFETIME.total_seconds() + 1)
+            self.assertEqual(followed.candidates, ["server-2"])
+
+        run_followed(async_test)
+
     def test_warm_server_stays_warm_after_a_restore(self) -> None:
         """An entry that was known already doesn't start its warm-up again."""
 
