Companions: the first era that a store reports tells of a restore

What callers would see: a live flow is reset by a balancer that starts just after the first restore of a store that had reported no era before. Not seen in a play; found by reading: directories take a first era for a restore, as docs/design/platform-questions.md says, and companions did not.

Cause: 0 stood for "no balancer has reported yet" and for "the store reports none". Companions now tell them apart, so the balancer learns that entries may be missing.

test_first_restore_of_a_store_without_an_era failed before.

--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/outage_tracker.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/outage_tracker.py
@@ -23,7 +23,7 @@
         """Initialize the tracker without an outage."""
         self._clock = clock
         self._grace_end = timedelta()
-        self._era = 0
+        self._era: int | None = None
 
     @property
     def missing_entry_grace_ms(self) -> int:
@@ -33,8 +33,8 @@
 
     def record(self, grace_ms: int, era: int) -> None:
         """Record the grace period and the era of the store that a balancer reports."""
-        is_restored = 0 < self._era < era
-        self._era = max(self._era, era)
+        is_restored = self._era is not None and era > self._era
+        self._era = era if self._era is None else max(self._era, era)
         grace = MISSING_ENTRY_GRACE if is_restored else grace_ms * MILLISECOND
         if grace > timedelta():
             self._grace_end = max(self._grace_end, self._clock.monotonic() + grace)
