--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/followed_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/followed_source.py
@@ -10,7 +10,7 @@
 from harness.flow_fleet import MemoryLogWriter
 from harness.virtual_time import VirtualClock, run_in_virtual_time
 from pomelotrail_core.counters import Counters
-from pomelotrail_core.directory import Directory, DirectoryFollower
+from pomelotrail_core.directory import Directory, DirectoryFollower, DirectoryItem
 from pomelotrail_core.event_log import EventLog
 
 from .builders import ENTRY_LIFETIME, configuration
@@ -71,6 +71,13 @@
         self.source.restore(copy)
         self.source.is_reachable = True
 
+    async def async_lose(self, item: DirectoryItem) -> None:
+        """Restore the source from a copy that lacks an item which was read."""
+        copy = self.source.copy()
+        self.source.write(item)
+        await asyncio.sleep(1)
+        await self.async_restore(copy)
+
     def stop(self) -> None:
         """Stop following."""
         self._following.cancel()
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_restored_source.py
@@ -60,9 +60,7 @@
         async def async_test(followed: FollowedSource) -> None:
             """Restore the same copy again before the entry is written again."""
             copy = followed.source.copy()
-            followed.source.write(entry(started_ms=STARTED_MS))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(entry(started_ms=STARTED_MS))
             await asyncio.sleep(1.5)
             await followed.async_restore(copy, outage_s=0.1)
             await asyncio.sleep(REWRITE_SECONDS - 0.3)
@@ -96,13 +94,10 @@
         async def async_test(followed: FollowedSource) -> None:
             """Lose the announcement, until the server writes it again."""
             followed.source.write(entry(started_ms=STARTED_MS, sequence=3))
-            copy = followed.source.copy()
             leaving = entry(
                 started_ms=STARTED_MS, sequence=7, state=ServerState.LEAVING
             )
-            followed.source.write(leaving)
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(leaving)
             await asyncio.sleep(1)
             self.assertEqual(followed.candidates, [])
             followed.source.write(leaving)
@@ -137,10 +132,7 @@
         async def async_test(followed: FollowedSource) -> None:
             """Lose the removal of a server's entry."""
             followed.source.write(entry(started_ms=STARTED_MS, sequence=3))
-            copy = followed.source.copy()
-            followed.source.write(RemovedItem(identity="server-1"))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(RemovedItem(identity="server-1"))
             await asyncio.sleep(2)
             self.assertEqual(followed.candidates, [])
             self.assertEqual(followed.possible_owners, ["server-1"])
@@ -154,10 +146,7 @@
 
         async def async_test(followed: FollowedSource) -> None:
             """Write a lost entry again after the time in which it is expected."""
-            copy = followed.source.copy()
-            followed.source.write(entry(started_ms=STARTED_MS))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(entry(started_ms=STARTED_MS))
             await asyncio.sleep(REWRITE_SECONDS + 1)
             self.assertEqual(followed.candidates, [])
             followed.source.write(entry(started_ms=STARTED_MS))
@@ -172,12 +161,9 @@
         async def async_test(followed: FollowedSource) -> None:
             """Let the copy's entry expire while the follower batches changes."""
             followed.source.write(entry(started_ms=STARTED_MS, sequence=3))
-            copy = followed.source.copy()
-            followed.source.write(
+            await followed.async_lose(
                 entry(started_ms=STARTED_MS, sequence=7, state=ServerState.LEAVING)
             )
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
             await asyncio.sleep(ENTRY_LIFETIME.total_seconds() - 0.1)
             followed.source.write(configuration(5))
             await asyncio.sleep(0.1)
@@ -193,13 +179,10 @@
 
         async def async_test(followed: FollowedSource) -> None:
             """Lose the registration and the announced end of a server."""
-            copy = followed.source.copy()
             leaving = entry(
                 started_ms=STARTED_MS, sequence=7, state=ServerState.LEAVING
             )
-            followed.source.write(leaving)
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(leaving)
             await asyncio.sleep(REWRITE_SECONDS - 0.2)
             # The entry waits at the source while the follower batches changes.
             followed.source.write(configuration(5))
@@ -231,13 +214,10 @@
         async def async_test(followed: FollowedSource) -> None:
             """Lose the entry of the second server at an address."""
             followed.source.write(entry(started_ms=STARTED_MS))
-            copy = followed.source.copy()
-            followed.source.write(
+            await followed.async_lose(
                 entry(identity="server-2", started_ms=STARTED_MS + 5_000)
             )
             await asyncio.sleep(1)
-            await followed.async_restore(copy)
-            await asyncio.sleep(1)
             self.assertEqual(followed.candidates, ["server-2"])
 
         run_followed(async_test)
@@ -247,10 +227,7 @@
 
         async def async_test(followed: FollowedSource) -> None:
             """Lose the entry of a server whose address another one gets."""
-            copy = followed.source.copy()
-            followed.source.write(entry(started_ms=STARTED_MS))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(entry(started_ms=STARTED_MS))
             followed.source.write(
                 entry(identity="server-2", started_ms=STARTED_MS - 5_000)
             )
@@ -287,10 +264,7 @@
         async def async_test(followed: FollowedSource) -> None:
             """Lose an evacuation, and write it again."""
             followed.source.write(entry())
-            copy = followed.source.copy()
-            followed.source.write(ZoneItem("zone-1"))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(ZoneItem("zone-1"))
             for _ in range(3):
                 await asyncio.sleep(0.5)
                 self.assertEqual(followed.candidates, [])
@@ -307,10 +281,7 @@
         async def async_test(followed: FollowedSource) -> None:
             """Write a lost evacuation again after five seconds."""
             followed.source.write(entry())
-            copy = followed.source.copy()
-            followed.source.write(ZoneItem("zone-1"))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(ZoneItem("zone-1"))
             for _ in range(10):
                 await asyncio.sleep(0.5)
                 self.assertEqual(followed.candidates, [])
@@ -326,10 +297,7 @@
         async def async_test(followed: FollowedSource) -> None:
             """Lose an evacuation for good."""
             followed.source.write(entry())
-            copy = followed.source.copy()
-            followed.source.write(ZoneItem("zone-1"))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(ZoneItem("zone-1"))
             await asyncio.sleep(REWRITE_SECONDS + OPERATOR_REWRITE_SECONDS + 2)
             self.assertEqual(followed.candidates, ["server-1"])
 
@@ -342,10 +310,7 @@
             """Lose the end of an evacuation."""
             followed.source.write(entry())
             followed.source.write(ZoneItem("zone-1"))
-            copy = followed.source.copy()
-            followed.source.write(RemovedItem(zone="zone-1"))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(RemovedItem(zone="zone-1"))
             await asyncio.sleep(1)
             self.assertEqual(followed.candidates, ["server-1"])
             await asyncio.sleep(2 * REWRITE_SECONDS)
@@ -359,10 +324,7 @@
         async def async_test(followed: FollowedSource) -> None:
             """Write the evacuation again before the history is lost."""
             followed.source.write(entry())
-            copy = followed.source.copy()
-            followed.source.write(ZoneItem("zone-1"))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(ZoneItem("zone-1"))
             await asyncio.sleep(1)
             followed.stop()
             followed.source.write(ZoneItem("zone-1"))
@@ -380,10 +342,7 @@
             """End the evacuation again before the history is lost."""
             followed.source.write(entry())
             followed.source.write(ZoneItem("zone-1"))
-            copy = followed.source.copy()
-            followed.source.write(RemovedItem(zone="zone-1"))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(RemovedItem(zone="zone-1"))
             await asyncio.sleep(1)
             followed.stop()
             followed.source.write(RemovedItem(zone="zone-1"))
@@ -401,10 +360,7 @@
             """Begin another evacuation of the zone."""
             followed.source.write(entry())
             followed.source.write(ZoneItem("zone-1"))
-            copy = followed.source.copy()
-            followed.source.write(RemovedItem(zone="zone-1"))
-            await asyncio.sleep(1)
-            await followed.async_restore(copy)
+            await followed.async_lose(RemovedItem(zone="zone-1"))
             await asyncio.sleep(1)
             followed.source.write(ZoneItem("zone-1"))
             await asyncio.sleep(0.1)
