Tests: fleets of two test runs on one machine use different loopback networks

Cause: the roles bind fixed ports, and every run used 127.90.0.0/16, or 127.1.0.0/16 to 127.3.0.0/16. The second fleet's processes can't bind, and never get ready.

A fleet claims a network by binding a guard address in it.

The soak takes no network number any more.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,7 +13,6 @@
 import attrs
 
 from .broken import VARIANTS
-from .const import FIRST_NETWORK
 from .run import SeedResult, async_run_seed
 from .schedule import Fault, FaultKind, draw_schedule
 
@@ -65,22 +64,19 @@
     prelude = ""
     if options.variant:
         prelude = f"import soak.broken; soak.broken.apply({options.variant!r}); "
-    free_networks = asyncio.Queue()
-    for job in range(options.jobs):
-        free_networks.put_nowait(FIRST_NETWORK + job)
+    free_jobs = asyncio.Semaphore(options.jobs)
 
     async def async_run_one(seed: int, faults: list[Fault]) -> SeedResult:
-        """Run one seed on an unused loopback network."""
-        network = await free_networks.get()
+        """Run one seed once a job is free."""
         log_folder = folder / str(seed)
-        try:
-            result = await async_run_seed(
-                seed, faults, network, options.processes, prelude, log_folder
-            )
-        except TimeoutError:
-            result = SeedResult(seed, ["0.00 a process did not get ready"], {}, 0, [])
-        finally:
-            free_networks.put_nowait(network)
+        async with free_jobs:
+            try:
+                result = await async_run_seed(
+                    seed, faults, options.processes, prelude, log_folder
+                )
+            except TimeoutError:
+                violation = "0.00 a process did not get ready"
+                result = SeedResult(seed, [violation], {}, 0, [])
         print_result(result, faults, log_folder, options)
         return result
 
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -63,9 +63,7 @@
     """Reset a flow as soon as its likely owners deny it."""
     from pomelotrail_balancer.flow_balancing.lookups import Lookups
 
-    def continue_lookup(
-        self: Any, lookup: Any, possible_owners: Any, may_send: bool, now: Any
-    ) -> None:
+    def continue_lookup(self: Any, lookup: Any, possible_owners: Any, now: Any) -> None:
         """End the lookup without querying further owners."""
         self._pending.pop(lookup.flow)
         self._on_unowned(lookup.first_packet)
--- a/soak/const.py
+++ b/soak/const.py
@@ -23,8 +23,6 @@
 # Backend servers that don't register before a `server add` fault.
 SPARE_SERVERS: Final = 2
 REQUEST_DURATION_S: Final = 0.02
-# Second byte of the first loopback network; each parallel fleet has its own.
-FIRST_NETWORK: Final = 20
 ZONES: Final = ("zone-1", "zone-2", "zone-3")
 SERVICES: Final = ("ledger", "desk")
 SERVICE_ADDRESS: Final = "198.51.100.1"
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 import attrs
 
 from stand_ins.flows import CallerHost, LoopbackNetwork
+from stand_ins.loopback_networks import ClaimedNetwork
 from stand_ins.platform_fleet import (
     RoleProcess,
     async_wait_ready,
@@ -73,9 +74,7 @@
 class SoakFleet:
     """Processes, store, servers and callers of one run, on loopback."""
 
-    def __init__(
-        self, network: int, folder: Path, seed: int, processes: int, prelude: str
-    ) -> None:
+    def __init__(self, folder: Path, seed: int, processes: int, prelude: str) -> None:
         """Initialize; a third of the processes are balancers, 16 at most."""
         self.random = random.Random(seed)
         self.store = PlatformStore()
@@ -86,7 +85,8 @@
         self.balancer_vms: list[BalancerVM] = []
         self.backend_vms: list[BackendVM] = []
         self._spare_backend_vms: list[BackendVM] = []
-        self._prefix = f"127.{network}"
+        self._addresses = ClaimedNetwork()
+        self._prefix = self._addresses.prefix
         self._folder = folder
         self._prelude = prelude
         self._balancer_count = min(_MAX_BALANCERS, max(2, processes // 3))
@@ -141,6 +141,7 @@
             server.close()
         await self.store.async_stop()
         self._network.close()
+        self._addresses.release()
 
     def create_caller(self, port: int) -> SoakCaller:
         """Return a new caller, which opens its own flow."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -172,13 +172,12 @@
 async def async_run_seed(
     seed: int,
     faults: list[Fault],
-    network: int,
     processes: int,
     prelude: str,
     folder: Path,
 ) -> SeedResult:
-    """Run one seed on its own loopback network, with logs in a folder."""
-    fleet = SoakFleet(network, folder, seed, processes, prelude)
+    """Run one seed, with logs in a folder."""
+    fleet = SoakFleet(folder, seed, processes, prelude)
     try:
         await fleet.async_start()
         return await SeedRun(fleet, faults).async_run(seed)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -13,14 +13,13 @@
 _SECONDS = 3.0
 _LINK_CUT_SEED = 2002
 _LINK_CUT_SECONDS = 6.0
-_NETWORK = 90
 _PROCESSES = 9
 
 
 def run_schedule(seed: int, faults: list[Fault], prelude: str = "") -> SeedResult:
     """Run a schedule with a small fleet."""
     with tempfile.TemporaryDirectory() as folder:
-        run = async_run_seed(seed, faults, _NETWORK, _PROCESSES, prelude, Path(folder))
+        run = async_run_seed(seed, faults, _PROCESSES, prelude, Path(folder))
         return asyncio.run(run)
 
 
--- a/stand_ins/platform_fleet.py
+++ b/stand_ins/platform_fleet.py
@@ -22,6 +22,7 @@
 
 from harness.process import ROOT
 from stand_ins.flows import CallerHost, LoopbackNetwork, StandInCaller, StandInServer
+from stand_ins.loopback_networks import ClaimedNetwork
 from stand_ins.platform_store import PlatformStore, PublishedRoute, Publisher
 
 SERVICE: Final = "ledger"
@@ -192,15 +193,17 @@
         """Describe the fleet."""
         self.store = PlatformStore()
         self.network = LoopbackNetwork()
+        self._addresses = ClaimedNetwork()
+        prefix = self._addresses.prefix
         self.balancers = [
-            RoleProcess("balancer", f"entry-{i}", f"127.1.0.{i + 1}", directory)
+            RoleProcess("balancer", f"entry-{i}", f"{prefix}.1.{i + 1}", directory)
             for i in range(balancers)
         ]
         self.companions = [
-            RoleProcess("companion", f"side-{i}", f"127.2.0.{i + 1}", directory)
+            RoleProcess("companion", f"side-{i}", f"{prefix}.2.{i + 1}", directory)
             for i in range(servers)
         ]
-        self.ports = free_ports("127.2.0.1")
+        self.ports = free_ports(f"{prefix}.2.1")
         self.servers: list[StandInServer] = []
         self._health_servers: list[asyncio.Server] = []
         self._balancer_index = 0
@@ -228,7 +231,7 @@
             await self.async_wait_ready(process)
         for process in processes:
             self._write_settings(process, is_first_start=False)
-        address = ("127.3.0.1", self.ports.packets)
+        address = (f"{self._addresses.prefix}.3.1", self.ports.packets)
         self._caller_host = CallerHost(self.network, address, self._balancer_address)
 
     async def async_stop(self) -> None:
@@ -239,6 +242,7 @@
             server.close()
         await self.store.async_stop()
         self.network.close()
+        self._addresses.release()
 
     async def async_wait_ready(self, process: RoleProcess) -> None:
         """Wait until a process reports that it is ready."""
