Lookups: flows are found at the service that their route led to before

The route leads to the other service since 21 s, its open flows stay where they are, and after the kill the companions there are unsure. Their servers may get no packet of another service's route, so the flow is found only when its server sends something.

Change: a balancer remembers for 60 s which services its routes led to, and lookups may probe the servers of these.

test_kill_of_companions_after_a_route_changed failed before.

--- a/harness/tests/test_flow_relearning.py
+++ b/harness/tests/test_flow_relearning.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import unittest
+from typing import Final
 
 from harness.flow_fleet import FlowFleet
 from harness.virtual_time import run_in_virtual_time
+from pomelotrail_core.directory import ServiceShare
 from stand_ins.flows import StandInCaller
 
+OTHER_SERVICE: Final = "certificate-desk"
+
 
 class RelearntFlowTest(unittest.TestCase):
     """Slot counts when packets of a learnt flow are sent twice."""
@@ -62,6 +66,27 @@
         run_in_virtual_time(async_run())
 
 
+class FormerServiceTest(unittest.TestCase):
+    """Flows that stay open at the service that their route led to before."""
+
+    def test_kill_of_companions_after_a_route_changed(self) -> None:
+        """A balancer that saw the change finds the flow."""
+
+        async def async_run() -> None:
+            """Send the next request through a balancer without the flow."""
+            fleet = FlowFleet(balancers=2, servers=4)
+            caller = fleet.caller()
+            await caller.async_open_and_request(b"one")
+            fleet.use_balancer(0)
+            fleet.directory().replace(fleet.listing(2, (ServiceShare(OTHER_SERVICE),)))
+            fleet.restart_companions()
+            self.assertEqual(
+                await caller.async_send_request(b"two", 1), b"answer to two"
+            )
+
+        run_in_virtual_time(async_run())
+
+
 class EndedFlowTest(unittest.TestCase):
     """Data that arrives after the backend server has ended the flow."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -95,7 +95,7 @@
         if lookup is None and len(self._pending) >= MAX_LOOKUPS:
             self._counters.add("lookups_refused")
             return
-        self._start(packet, {share.service for share in route.shares}, now)
+        self._start(packet, route.services, now)
 
     def cancel(self, flow: bytes) -> None:
         """Cancel the lookup of a flow, if there is one."""
@@ -145,7 +145,7 @@
         if lookup is not None and (identity := lookup.probed.pop(sender, None)):
             self._record_denial(lookup, identity)
 
-    def _start(self, packet: Packet, services: set[str], now: timedelta) -> None:
+    def _start(self, packet: Packet, services: frozenset[str], now: timedelta) -> None:
         """Query the companions that the flow was probably offered to first.
 
         All others are queried later, including those of other services: the flow may
@@ -239,7 +239,7 @@
 
         Handles this load pattern: all companions have lost their flows. Asking each of
         them costs a slow link more than the packet that the servers need anyway.
-        Servers of services outside the route get no packet; their companions are asked.
+        Servers of other services get no packet; their companions are asked.
         """
         if companion.unsure_until <= now or not self._may_probe(lookup, companion):
             self._counters.add("lookup_queries")
@@ -271,12 +271,11 @@
     def _may_probe(self, lookup: FlowLookup, companion: CompanionView) -> bool:
         """Return whether a companion's server may get the packet of a lookup.
 
-        Servers of services outside the route get no packet, so their companion remains
-        unsure and the flow isn't reset.
+        Servers of services that the route isn't known to have led to get no packet, so
+        their companion remains unsure and the flow isn't reset.
         """
-        route = self._directory.route(lookup.first_packet.receiver)
-        shares = route.shares if route is not None else ()
-        return any(share.service == companion.server.service for share in shares)
+        address = lookup.first_packet.receiver
+        return companion.server.service in self._directory.possible_services(address)
 
     def _two_replies(self, minimum: timedelta) -> timedelta:
         """Return the time in which a query and a probe are answered."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -39,3 +39,5 @@
 # marked as leaving, their entries expired in an outage that ended before a call failed.
 OUTAGE_MIN_LOST: Final = 3
 OUTAGE_LOST_SHARE: Final = 0.4
+# Callers end their flows after 60 s.
+FORMER_SERVICE_RETENTION: Final = timedelta(seconds=60)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -16,6 +16,7 @@
     OUTAGE_MIN_LOST,
     READ_DELAY,
 )
+from .former_services import FormerServices
 from .messages import (
     BackendServer,
     ConfigurationItem,
@@ -61,6 +62,7 @@
         self._outage = SourceOutage(clock)
         self._servers = ServerEntries(clock, self._outage, entry_lifetime, self._log)
         self._zones_out = ZonesOut(clock, self._log)
+        self._former_services = FormerServices(clock)
         self._configuration: PublishedConfiguration | None = None
         self._usable = asyncio.Event()
         self._first_listed: timedelta | None = None
@@ -126,6 +128,15 @@
             return None
         return self._configuration.routes.get(address)
 
+    def possible_services(self, address: bytes) -> frozenset[str]:
+        """Return the services at which flows of a packed address may be open.
+
+        The route may have led to another service when a flow was opened.
+        """
+        route = self.route(address)
+        current = route.services if route is not None else frozenset()
+        return current | self._former_services.services(address)
+
     def candidates(self, service: str) -> list[BackendServer]:
         """Return the backend servers that may accept new flows of a service."""
         zones_out = self.zones_out
@@ -310,6 +321,8 @@
                 ignored=configuration.version,
             )
             return
+        if self._configuration is not None:
+            self._former_services.record(self._configuration, configuration)
         self._configuration = configuration
         self._log.version = configuration.version
         self._usable.set()
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/former_services.py
@@ -0,0 +1,49 @@
+"""Services that routes led to before."""
+
+from datetime import timedelta
+
+from pomelotrail_core.clock import Clock
+
+from .const import FORMER_SERVICE_RETENTION
+from .messages import PublishedConfiguration
+
+
+class FormerServices:
+    """The services at which flows may be open although their route left them.
+
+    A new version of the configuration leaves open flows where they are::
+
+        former.record(replaced=version_3, current=version_4)
+        former.services(address)
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Initialize without services."""
+        self._clock = clock
+        self._until: dict[bytes, dict[str, timedelta]] = {}
+
+    def services(self, address: bytes) -> set[str]:
+        """Return the services that the route of an address led to before."""
+        until = self._until.get(address)
+        if until is None:
+            return set()
+        now = self._clock.monotonic()
+        return {service for service, end in until.items() if now < end}
+
+    def record(
+        self, replaced: PublishedConfiguration, current: PublishedConfiguration
+    ) -> None:
+        """Record the services that routes led to in a replaced version."""
+        self._drop_expired()
+        until = self._clock.monotonic() + FORMER_SERVICE_RETENTION
+        for address, route in current.routes.items():
+            former = replaced.routes.get(address)
+            if former is None or former.shares == route.shares:
+                continue
+            left = former.services - route.services
+            self._until.setdefault(address, {}).update(dict.fromkeys(left, until))
+
+    def _drop_expired(self) -> None:
+        """Drop addresses without a service that may still have flows."""
+        for address in [each for each in self._until if not self.services(each)]:
+            del self._until[address]
--- a/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
@@ -79,6 +79,11 @@
     priority: int
     is_idempotent: bool
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services that new flows are sent to."""
+        return frozenset(share.service for share in self.shares)
+
 
 class ServiceSettings(msgspec.Struct, frozen=True):
     """Settings of a service.
