Companions: an idle flow is kept for as long as operators allow

What callers would see: where operators allow flows to be idle for longer than 20 s, a live flow is reset at its next request, once another balancer handles it.

Cause: companions forgot flows after a constant 20 s, and then denied them, since they had seen all flows. The operators' idle time was not read from the configuration.

test_flow_that_is_idle_for_as_long_as_operators_allow failed before (the flow was reset after 44 s of 45 s), and so did test_idle_flow.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -112,6 +112,7 @@
         servers: int = 3,
         slots: int = 4,
         cold_flows_per_s: float | None = None,
+        idle_timeout: timedelta = timedelta(),
     ) -> None:
         """Start all balancers, companions and servers in one availability zone."""
         self.network = MemoryNetwork()
@@ -121,6 +122,7 @@
         self.counters = Counters()
         self.slots = slots
         self.cold_flows_per_s = cold_flows_per_s
+        self.idle_timeout = idle_timeout
         self.cold_hosts: set[str] = set()
         self.started_ms: dict[str, int] = {}
         self.servers = {
@@ -246,6 +248,7 @@
             version,
             {route.endpoint.pack(): route},
             {SERVICE: ServiceSettings(SERVICE, self.cold_flows_per_s)},
+            self.idle_timeout,
         )
         servers = [
             ServerItem(self.server_entry(host, Revision(FIRST_REVISION.era, number)))
--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from datetime import timedelta
 from typing import Final
 
 import msgspec
@@ -261,6 +262,26 @@
 
         run_in_virtual_time(async_run())
 
+    def test_flow_that_is_idle_for_as_long_as_operators_allow(self) -> None:
+        """Its companion still knows it, so that another balancer finds it."""
+
+        async def async_run() -> None:
+            """Send a request just before the idle timeout of 45 s."""
+            fleet = FlowFleet(servers=2, idle_timeout=timedelta(seconds=45))
+            sweeps = [
+                asyncio.create_task(proxy.async_sweep_regularly())
+                for proxy in fleet.proxies.values()
+            ]
+            caller = fleet.caller()
+            await caller.async_open_and_request(b"one")
+            await asyncio.sleep(44)
+            fleet.start_balancer("192.0.2.200")
+            self.assertEqual(await caller.async_send_request(b"two"), b"answer to two")
+            for sweep in sweeps:
+                sweep.cancel()
+
+        run_in_virtual_time(async_run())
+
     def test_route_changed_to_another_service(self) -> None:
         """Open flows stay at their server, also through another balancer."""
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
@@ -28,8 +28,9 @@
 UNANSWERED_LOAD_PENALTY: Final = 2
 # Connections on the same VM are accepted or refused in less than 1 ms.
 SERVER_CONNECT_TIMEOUT: Final = timedelta(milliseconds=200)
-# Flows may be discarded after an idle time of 15 s, which operators set.
-IDLE_TIMEOUT: Final = timedelta(seconds=20)
+# A flow is kept for this long after the idle time that operators set. A packet that
+# callers send just before may be retransmitted for some seconds.
+IDLE_MARGIN: Final = timedelta(seconds=5)
 # Both endpoints retransmit their last packets for up to 1.6 s.
 CLOSED_LINGER: Final = timedelta(seconds=4)
 # No flow lasts longer, so a companion that runs for this time has seen all flows.
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -14,7 +14,8 @@
 from .const import (
     CLOSED_LINGER,
     FIRST_REQUEST_TIMEOUT,
-    IDLE_TIMEOUT,
+    IDLE_MARGIN,
+    MAX_FLOW_DURATION,
     MAX_FLOWS,
     OPENING_TIMEOUT,
     OVERDUE_AFTER,
@@ -86,6 +87,7 @@
         self._running: dict[bytes, ServerFlow] = {}
         self._unanswered: deque[timedelta] = deque()
         self._route_settings: dict[bytes, RouteSettings] = {}
+        self._idle_timeout = timedelta()
 
     def __len__(self) -> int:
         """Return the number of flows."""
@@ -141,6 +143,13 @@
             flow[PACKED_ENDPOINT_BYTES:], _DEFAULT_ROUTE_SETTINGS
         )
 
+    def record_idle_timeout(self, idle_timeout: timedelta) -> None:
+        """Record the idle time that operators set, of which the longest holds.
+
+        Balancers may report an earlier version of the configuration.
+        """
+        self._idle_timeout = max(self._idle_timeout, idle_timeout)
+
     def open(
         self, flow: bytes, balancer: Address, offer: int, now: timedelta
     ) -> ServerFlow:
@@ -227,7 +236,7 @@
             RUNNING_TIMEOUT, self._estimate.value * RUNNING_WORK_FACTOR
         )
         for flow, entry in list(self._flows.items()):
-            if now - entry.last_used >= _idle_timeout(entry):
+            if now - entry.last_used >= self._retention(entry):
                 self.remove(flow)
             elif entry.started is not None:
                 if now - entry.started >= running_timeout:
@@ -239,6 +248,20 @@
                 self._end_request(entry)
         return unanswered
 
+    def _retention(self, entry: ServerFlow) -> timedelta:
+        """Return the time without a packet after which a flow is removed.
+
+        An open flow is kept for the longest duration of flows until a balancer reports
+        the idle time that operators set.
+        """
+        if entry.is_closed:
+            return CLOSED_LINGER
+        if not entry.is_open:
+            return OPENING_TIMEOUT
+        if not self._idle_timeout:
+            return MAX_FLOW_DURATION
+        return self._idle_timeout + IDLE_MARGIN
+
     def _add(self, entry: ServerFlow) -> None:
         """Add a flow and evict the oldest one if there are too many."""
         if len(self._flows) >= MAX_FLOWS:
@@ -258,10 +281,3 @@
 def _is_up_to(known: int | None, end: int) -> bool:
     """Return whether a sequence number is at or past an end, with wraparound."""
     return known is not None and (known - end) % SEQUENCE_RANGE < SEQUENCE_RANGE // 2
-
-
-def _idle_timeout(entry: ServerFlow) -> timedelta:
-    """Return the idle time after which a flow is removed."""
-    if entry.is_closed:
-        return CLOSED_LINGER
-    return IDLE_TIMEOUT if entry.is_open else OPENING_TIMEOUT
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
@@ -8,6 +8,8 @@
 from pomelotrail_companion.server_proxy import ServerFlows
 from pomelotrail_companion.server_proxy.const import (
     FIRST_REQUEST_TIMEOUT,
+    IDLE_MARGIN,
+    MAX_FLOW_DURATION,
     OVERDUE_AFTER,
     RUNNING_TIMEOUT,
     UNANSWERED_LOAD_PENALTY,
@@ -16,6 +18,7 @@
 from pomelotrail_companion.server_proxy.server_flows import RouteSettings
 
 _NOW = timedelta(seconds=5)
+_SECOND = timedelta(seconds=1)
 
 
 class ServerFlowsTest(unittest.TestCase):
@@ -128,6 +131,18 @@
         self.flows.sweep(_NOW + timedelta(seconds=5))
         self.assertIsNone(self.flows.get(b"flow"))
 
+    def test_idle_flow(self) -> None:
+        """It is removed after the longest idle time that was reported, and a margin."""
+        self.flows.sweep(_NOW + MAX_FLOW_DURATION - _SECOND)
+        self.assertIsNotNone(self.flows.get(b"flow"))
+        self.flows.record_idle_timeout(15 * _SECOND)
+        self.flows.record_idle_timeout(12 * _SECOND)
+        end = _NOW + 15 * _SECOND + IDLE_MARGIN
+        self.flows.sweep(end - _SECOND)
+        self.assertIsNotNone(self.flows.get(b"flow"))
+        self.flows.sweep(end)
+        self.assertIsNone(self.flows.get(b"flow"))
+
     def test_missing_response(self) -> None:
         """The slot of the request is free again after the timeout."""
         self.flows.record_caller_data(self.entry, 100, 50, _NOW)
