--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -57,6 +57,7 @@
 ROUTE_TIMEOUT: Final = timedelta(seconds=4)
 FIRST_REVISION: Final = Revision(era=1, number=100)
 ENTRY_LIFETIME: Final = timedelta(seconds=3.6)
+MAX_FLOW_DURATION: Final = timedelta(seconds=60)
 CALLERS_HOST: Final = "203.0.113.9"
 
 
@@ -113,6 +114,7 @@
         slots: int = 4,
         cold_flows_per_s: float | None = None,
         idle_timeout: timedelta = timedelta(),
+        max_flow_duration: timedelta = MAX_FLOW_DURATION,
     ) -> None:
         """Start all balancers, companions and servers in one availability zone."""
         self.network = MemoryNetwork()
@@ -123,6 +125,7 @@
         self.slots = slots
         self.cold_flows_per_s = cold_flows_per_s
         self.idle_timeout = idle_timeout
+        self.max_flow_duration = max_flow_duration
         self.cold_hosts: set[str] = set()
         self.started_ms: dict[str, int] = {}
         self.servers = {
@@ -155,7 +158,9 @@
 
         Unless ``is_listed``, its directory is empty until ``directory().replace``.
         """
-        directory = Directory(self.clock, self.log, self.counters, ENTRY_LIFETIME)
+        directory = Directory(
+            self.clock, self.log, self.counters, ENTRY_LIFETIME, self.max_flow_duration
+        )
         if is_listed:
             directory.replace(self.listing())
         check = CompletenessCheck(
@@ -196,6 +201,7 @@
             ServerProxyAddresses((host, SERVER_PORT), FLEET_PORT, PACKETS_PORT),
             is_first_start,
             self.clock.now(),
+            self.max_flow_duration,
             CODEC,
             self.clock,
             self.log,
--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -282,6 +282,21 @@
 
         run_in_virtual_time(async_run())
 
+    def test_companion_that_runs_for_less_than_a_flow_may_last(self) -> None:
+        """It doesn't deny flows of which it has seen no packet."""
+
+        async def async_run() -> None:
+            """Send a request 70 s after the companions have started again."""
+            fleet = FlowFleet(servers=2, max_flow_duration=timedelta(seconds=120))
+            caller = fleet.caller()
+            await caller.async_open_and_request(b"one")
+            fleet.restart_companions()
+            await asyncio.sleep(70)
+            fleet.start_balancer("192.0.2.200")
+            self.assertEqual(await caller.async_send_request(b"two"), b"answer to two")
+
+        run_in_virtual_time(async_run())
+
     def test_route_changed_to_another_service(self) -> None:
         """Open flows stay at their server, also through another balancer."""
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
@@ -33,8 +33,6 @@
 IDLE_MARGIN: Final = timedelta(seconds=5)
 # Both endpoints retransmit their last packets for up to 1.6 s.
 CLOSED_LINGER: Final = timedelta(seconds=4)
-# No flow lasts longer, so a companion that runs for this time has seen all flows.
-MAX_FLOW_DURATION: Final = timedelta(seconds=60)
 # Minimum time from the start of one process to the start of the next, if the first
 # accepted a flow: loading takes at least 60 ms, and the platform delays restarts.
 MIN_RESTART_TIME: Final = timedelta(milliseconds=300)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
@@ -12,7 +12,7 @@
 from pomelotrail_core.flows import Mark, Packet, PacketCodec
 from pomelotrail_core.offers import Lookup, LookupMiss, LookupReply, Owner, encode
 
-from .const import MAX_FLOW_DURATION, MIN_RESTART_TIME, PROBE_INTERVAL, SWEEP_INTERVAL
+from .const import MIN_RESTART_TIME, PROBE_INTERVAL, SWEEP_INTERVAL
 from .outage_tracker import OutageTracker
 from .server_flows import ServerFlows
 
@@ -39,6 +39,7 @@
         service: str,
         is_first_start: bool,
         process_started: datetime,
+        max_flow_duration: timedelta,
         flows: ServerFlows,
         codec: PacketCodec,
         clock: Clock,
@@ -55,6 +56,7 @@
         self._clock = clock
         self._log = log
         self._process_started = process_started
+        self._max_flow_duration = max_flow_duration
         self._counters = counters
         self._send_message = send_message
         self._forward = forward
@@ -147,4 +149,4 @@
     def _has_all_flows(self) -> bool:
         """Return whether all flows of the server are tracked."""
         age = self._clock.monotonic() - self._started
-        return self._accepted_all_flows or age >= MAX_FLOW_DURATION
+        return self._accepted_all_flows or age >= self._max_flow_duration
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -15,7 +15,6 @@
     CLOSED_LINGER,
     FIRST_REQUEST_TIMEOUT,
     IDLE_MARGIN,
-    MAX_FLOW_DURATION,
     MAX_FLOWS,
     OPENING_TIMEOUT,
     OVERDUE_AFTER,
@@ -78,9 +77,10 @@
         flows.occupancy
     """
 
-    def __init__(self, estimate: WorkEstimate) -> None:
+    def __init__(self, estimate: WorkEstimate, max_flow_duration: timedelta) -> None:
         """Initialize without flows; ``estimate`` is the server's processing time."""
         self._estimate = estimate
+        self._max_flow_duration = max_flow_duration
         self._flows: dict[bytes, ServerFlow] = {}
         self._openings: deque[ServerFlow] = deque()
         self._in_progress = 0
@@ -259,7 +259,7 @@
         if not entry.is_open:
             return OPENING_TIMEOUT
         if not self._idle_timeout:
-            return MAX_FLOW_DURATION
+            return self._max_flow_duration
         return self._idle_timeout + IDLE_MARGIN
 
     def _add(self, entry: ServerFlow) -> None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -48,6 +48,7 @@
         addresses: ServerProxyAddresses,
         is_first_start: bool,
         process_started: datetime,
+        max_flow_duration: timedelta,
         codec: PacketCodec,
         clock: Clock,
         log: EventLog,
@@ -60,6 +61,7 @@
 
         ``is_first_start`` means that no earlier process of this companion can have
         accepted flows; ``process_started`` is the time of day when this one started.
+        No flow lasts longer than ``max_flow_duration``.
         """
         self._addresses = addresses
         self._label = service_label(service)
@@ -71,12 +73,13 @@
         self._send_message = send_message
         self._send_to_server = send_to_server
         estimate = WorkEstimate()
-        self._flows = ServerFlows(estimate)
+        self._flows = ServerFlows(estimate, max_flow_duration)
         self._gate = RequestGate(self._flows, estimate)
         self._ownership = Ownership(
             service,
             is_first_start,
             process_started,
+            max_flow_duration,
             self._flows,
             codec,
             clock,
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
@@ -9,7 +9,6 @@
 from pomelotrail_companion.server_proxy.const import (
     FIRST_REQUEST_TIMEOUT,
     IDLE_MARGIN,
-    MAX_FLOW_DURATION,
     OVERDUE_AFTER,
     RUNNING_TIMEOUT,
     UNANSWERED_LOAD_PENALTY,
@@ -19,6 +18,7 @@
 
 _NOW = timedelta(seconds=5)
 _SECOND = timedelta(seconds=1)
+_MAX_FLOW_DURATION = timedelta(seconds=60)
 
 
 class ServerFlowsTest(unittest.TestCase):
@@ -27,7 +27,7 @@
     def setUp(self) -> None:
         """Open a flow."""
         self.estimate = WorkEstimate()
-        self.flows = ServerFlows(self.estimate)
+        self.flows = ServerFlows(self.estimate, _MAX_FLOW_DURATION)
         self.entry = self.flows.open(b"flow", ("192.0.2.1", 1), 1, _NOW)
         self.entry.is_open = True
 
@@ -133,7 +133,7 @@
 
     def test_idle_flow(self) -> None:
         """It is removed after the longest idle time that was reported, and a margin."""
-        self.flows.sweep(_NOW + MAX_FLOW_DURATION - _SECOND)
+        self.flows.sweep(_NOW + _MAX_FLOW_DURATION - _SECOND)
         self.assertIsNotNone(self.flows.get(b"flow"))
         self.flows.record_idle_timeout(15 * _SECOND)
         self.flows.record_idle_timeout(12 * _SECOND)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -32,12 +32,8 @@
 # Operators may write the evacuation of a zone again later than servers write their
 # entries. Until then the zone must get no new flows.
 MISSING_ZONE_GRACE: Final = timedelta(seconds=10)
-# Flows may stay open this long on a backend server whose entry was removed.
-FORMER_SERVER_RETENTION: Final = timedelta(seconds=60)
 # Servers crash one by one, or a zone of three or more at once. When at least this
 # number and this share of the ready servers go missing together without having been
 # marked as leaving, their entries expired in an outage that ended before a call failed.
 OUTAGE_MIN_LOST: Final = 3
 OUTAGE_LOST_SHARE: Final = 0.4
-# Callers end their flows after 60 s.
-FORMER_SERVICE_RETENTION: Final = timedelta(seconds=60)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -50,19 +50,22 @@
         log: EventLog,
         counters: Counters,
         entry_lifetime: timedelta,
+        max_flow_duration: timedelta,
     ) -> None:
         """Initialize an empty directory.
 
         ``entry_lifetime`` is the time after which the store removes the entry of a
-        silent server.
+        silent server, and no flow lasts longer than ``max_flow_duration``.
         """
         self._clock = clock
         self._log = ChangeLog(log)
         self._counters = counters
         self._outage = SourceOutage(clock)
-        self._servers = ServerEntries(clock, self._outage, entry_lifetime, self._log)
+        self._servers = ServerEntries(
+            clock, self._outage, entry_lifetime, max_flow_duration, self._log
+        )
         self._zones_out = ZonesOut(clock, self._log)
-        self._former_services = FormerServices(clock)
+        self._former_services = FormerServices(clock, max_flow_duration)
         self._configuration: PublishedConfiguration | None = None
         self._usable = asyncio.Event()
         self._first_listed: timedelta | None = None
--- a/packages/pomelotrail-core/pomelotrail_core/directory/former_services.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/former_services.py
@@ -4,7 +4,6 @@
 
 from pomelotrail_core.clock import Clock
 
-from .const import FORMER_SERVICE_RETENTION
 from .messages import PublishedConfiguration
 
 
@@ -17,9 +16,10 @@
         former.services(address)
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, max_flow_duration: timedelta) -> None:
         """Initialize without services."""
         self._clock = clock
+        self._max_flow_duration = max_flow_duration
         self._until: dict[bytes, dict[str, timedelta]] = {}
 
     def services(self, address: bytes) -> set[str]:
@@ -35,7 +35,7 @@
     ) -> None:
         """Record the services that routes led to in a replaced version."""
         self._drop_expired()
-        until = self._clock.monotonic() + FORMER_SERVICE_RETENTION
+        until = self._clock.monotonic() + self._max_flow_duration
         for address, route in current.routes.items():
             former = replaced.routes.get(address)
             if former is None or former.shares == route.shares:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
@@ -9,7 +9,7 @@
 from pomelotrail_core.offers import MISSING_ENTRY_GRACE
 
 from .change_log import ChangeLog
-from .const import FORMER_SERVER_RETENTION, READ_DELAY
+from .const import READ_DELAY
 from .known_server import KnownServer
 from .messages import BackendServer, ServerState
 from .revision import Revision
@@ -33,16 +33,19 @@
         clock: Clock,
         outage: SourceOutage,
         entry_lifetime: timedelta,
+        max_flow_duration: timedelta,
         log: ChangeLog,
     ) -> None:
         """Initialize without entries.
 
         ``entry_lifetime`` is the time after which the store removes the entry of a
-        silent server.
+        silent server. Flows may stay open on a server whose entry was removed, for
+        ``max_flow_duration`` at most.
         """
         self._clock = clock
         self._outage = outage
         self._unrenewed_lifetime = entry_lifetime + READ_DELAY
+        self._max_flow_duration = max_flow_duration
         self._log = log
         self._restored_to = Revision()
         self._known: dict[str, KnownServer] = {}
@@ -242,7 +245,7 @@
             if known.older is not None and now >= known.older_from:
                 self._put_in_force(KnownServer(known.older, now))
         for identity, known in list(self._former.items()):
-            if now - known.recorded_at >= FORMER_SERVER_RETENTION:
+            if now - known.recorded_at >= self._max_flow_duration:
                 del self._former[identity]
 
     def _former_servers(self, is_confirmed: bool) -> list[KnownServer]:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/builders.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/builders.py
@@ -19,6 +19,7 @@
 from pomelotrail_core.endpoint import Endpoint
 
 ENTRY_LIFETIME: Final = timedelta(seconds=3.6)
+MAX_FLOW_DURATION: Final = timedelta(seconds=60)
 
 _SERVER = BackendServer(
     identity="server-1",
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/followed_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/followed_source.py
@@ -13,7 +13,7 @@
 from pomelotrail_core.directory import Directory, DirectoryFollower, DirectoryItem
 from pomelotrail_core.event_log import EventLog
 
-from .builders import ENTRY_LIFETIME, configuration
+from .builders import ENTRY_LIFETIME, MAX_FLOW_DURATION, configuration
 from .memory_source import MemorySource, SourceCopy
 
 # Operators' limit on the time from the confirmation of a change until it is in force.
@@ -38,7 +38,7 @@
         self._lines = MemoryLogWriter()
         self._event_log = EventLog("test", clock, self._lines)
         self.directory = Directory(
-            clock, self._event_log, self.counters, ENTRY_LIFETIME
+            clock, self._event_log, self.counters, ENTRY_LIFETIME, MAX_FLOW_DURATION
         )
         follower = DirectoryFollower(
             self.source, self.directory, clock, random.Random(1)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_completeness.py
@@ -13,7 +13,7 @@
 from pomelotrail_core.directory import CompletenessCheck, Directory, Listing, Revision
 from pomelotrail_core.event_log import EventLog
 
-from .builders import ENTRY_LIFETIME, configuration
+from .builders import ENTRY_LIFETIME, MAX_FLOW_DURATION, configuration
 
 # Longer than entries are kept that are missing after an outage or a restore.
 GRACE_SECONDS: Final = 3
@@ -51,7 +51,11 @@
 def make_directory(clock: VirtualClock) -> Directory:
     """Return an empty directory."""
     return Directory(
-        clock, EventLog("test", clock, MemoryLogWriter()), Counters(), ENTRY_LIFETIME
+        clock,
+        EventLog("test", clock, MemoryLogWriter()),
+        Counters(),
+        ENTRY_LIFETIME,
+        MAX_FLOW_DURATION,
     )
 
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
@@ -21,7 +21,7 @@
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.event_log import EventLog
 
-from .builders import ENTRY_LIFETIME, configuration, entry, listing
+from .builders import ENTRY_LIFETIME, MAX_FLOW_DURATION, configuration, entry, listing
 
 
 class DirectoryTest(unittest.TestCase):
@@ -33,7 +33,9 @@
         self.lines = MemoryLogWriter()
         self.log = EventLog("test", self.clock, self.lines)
         self.counters = Counters()
-        self.directory = Directory(self.clock, self.log, self.counters, ENTRY_LIFETIME)
+        self.directory = Directory(
+            self.clock, self.log, self.counters, ENTRY_LIFETIME, MAX_FLOW_DURATION
+        )
 
     def identities(self) -> list[str]:
         """Return the identities of the candidates of the service."""
@@ -54,7 +56,9 @@
     @given(st.lists(st.integers(1, 20)))
     def test_version_is_the_highest_seen(self, versions: list[int]) -> None:
         """The version in force is the highest one, independent of their order."""
-        directory = Directory(self.clock, self.log, self.counters, ENTRY_LIFETIME)
+        directory = Directory(
+            self.clock, self.log, self.counters, ENTRY_LIFETIME, MAX_FLOW_DURATION
+        )
         highest = 0
         for version in versions:
             directory.apply(listing(configuration(version)))
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_follower.py
@@ -23,7 +23,7 @@
 )
 from pomelotrail_core.event_log import EventLog
 
-from .builders import ENTRY_LIFETIME, configuration, listing
+from .builders import ENTRY_LIFETIME, MAX_FLOW_DURATION, configuration, listing
 
 Response = Result[Listing, SourceError]
 
@@ -78,6 +78,7 @@
             EventLog("test", clock, MemoryLogWriter()),
             Counters(),
             ENTRY_LIFETIME,
+            MAX_FLOW_DURATION,
         )
         follower = DirectoryFollower(source, directory, clock, random.Random(1))
         with contextlib.suppress(TimeoutError):
@@ -152,6 +153,7 @@
                 EventLog("test", clock, MemoryLogWriter()),
                 Counters(),
                 ENTRY_LIFETIME,
+                MAX_FLOW_DURATION,
             )
             follower = DirectoryFollower(source, directory, clock, random.Random(1))
             following = asyncio.create_task(follower.async_follow())
