Lookups: a flow that is found tells which service its address led to before

Change: each owner that is found records its service for the flow's address, for as long as flows may last, beside the services of replaced versions.

test_kill_of_all_processes_after_a_route_changed failed before (timeout).

--- a/harness/tests/test_flow_relearning.py
+++ b/harness/tests/test_flow_relearning.py
@@ -86,6 +86,27 @@
 
         run_in_virtual_time(async_run())
 
+    def test_kill_of_all_processes_after_a_route_changed(self) -> None:
+        """A flow that its server's packet reveals leads to the others."""
+
+        async def async_run() -> None:
+            """Let the server send on one flow, and request on it and on another."""
+            fleet = FlowFleet(servers=1)
+            first, second = fleet.caller(), fleet.caller()
+            await second.async_open_and_request(b"one")
+            await first.async_open_and_request(b"one")
+            fleet.restart_companions()
+            fleet.start_balancer("192.0.2.200", is_listed=False)
+            fleet.directory().replace(fleet.listing(2, (ServiceShare(OTHER_SERVICE),)))
+            (server,) = fleet.servers.values()
+            server.resend_answer()
+            for caller in (first, second):
+                self.assertEqual(
+                    await caller.async_send_request(b"two", 1), b"answer to two"
+                )
+
+        run_in_virtual_time(async_run())
+
 
 class EndedFlowTest(unittest.TestCase):
     """Data that arrives after the backend server has ended the flow."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -128,6 +128,8 @@
         lookup = self._pending.pop(flow, None)
         if lookup is None:
             return False
+        address, service = lookup.first_packet.receiver, companion.server.service
+        self._directory.record_flow(address, service)
         self._log.write(
             _PART,
             "owner_found",
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -146,6 +146,10 @@
         current = route.services if route is not None else frozenset()
         return current | self._former_services.services(address)
 
+    def record_flow(self, address: bytes, service: str) -> None:
+        """Record that a service has a flow of a packed address."""
+        self._former_services.record_flow(address, service)
+
     def candidates(self, service: str) -> list[BackendServer]:
         """Return the backend servers that may accept new flows of a service."""
         zones_out = self.zones_out
@@ -331,7 +335,7 @@
             )
             return
         if self._configuration is not None:
-            self._former_services.record(self._configuration, configuration)
+            self._former_services.record_replaced(self._configuration, configuration)
         self._configuration = configuration
         self._log.version = configuration.version
         self._usable.set()
--- a/packages/pomelotrail-core/pomelotrail_core/directory/former_services.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/former_services.py
@@ -10,9 +10,11 @@
 class FormerServices:
     """The services at which flows may be open although their route left them.
 
-    A new version of the configuration leaves open flows where they are::
+    A new version of the configuration leaves open flows where they are. A process that
+    has not read an earlier version learns its services from flows that it finds::
 
-        former.record(replaced=version_3, current=version_4)
+        former.record_replaced(version_3, current=version_4)
+        former.record_flow(address, "ledger")
         former.services(address)
     """
 
@@ -30,12 +32,16 @@
         now = self._clock.monotonic()
         return {service for service, end in until.items() if now < end}
 
-    def record(
+    def record_flow(self, address: bytes, service: str) -> None:
+        """Record that a service has a flow of an address."""
+        self._until.setdefault(address, {})[service] = self._last_use()
+
+    def record_replaced(
         self, replaced: PublishedConfiguration, current: PublishedConfiguration
     ) -> None:
         """Record the services that routes led to in a replaced version."""
         self._drop_expired()
-        until = self._clock.monotonic() + self._max_flow_duration
+        until = self._last_use()
         for address, route in current.routes.items():
             former = replaced.routes.get(address)
             if former is None or former.shares == route.shares:
@@ -43,6 +49,10 @@
             left = former.services - route.services
             self._until.setdefault(address, {}).update(dict.fromkeys(left, until))
 
+    def _last_use(self) -> timedelta:
+        """Return the time when flows that are open now have ended."""
+        return self._clock.monotonic() + self._max_flow_duration
+
     def _drop_expired(self) -> None:
         """Drop addresses without a service that may still have flows."""
         for address in [each for each in self._until if not self.services(each)]:
