Lookups: companions tell the addresses that their server has flows of

Change: the reply to a lookup marks flows whose address the server has other flows of (a byte each, only while the companion is unsure). The balancer then probes the servers of that service.

test_companion_that_has_other_flows_of_the_address failed before (timeout).

--- a/harness/tests/test_flow_relearning.py
+++ b/harness/tests/test_flow_relearning.py
@@ -86,24 +86,46 @@
 
         run_in_virtual_time(async_run())
 
-    def test_kill_of_all_processes_after_a_route_changed(self) -> None:
-        """A flow that its server's packet reveals leads to the others."""
+    async def async_lose_tables_after_a_change(
+        self,
+    ) -> tuple[FlowFleet, StandInCaller, StandInCaller]:
+        """Return a fleet, a caller on whose flow the server sends, and another one."""
+        fleet = FlowFleet(servers=1)
+        silent, resent = fleet.caller(), fleet.caller()
+        await silent.async_open_and_request(b"one")
+        await resent.async_open_and_request(b"one")
+        fleet.restart_companions()
+        fleet.start_balancer("192.0.2.200", is_listed=False)
+        fleet.directory().replace(fleet.listing(2, (ServiceShare(OTHER_SERVICE),)))
+        (server,) = fleet.servers.values()
+        server.resend_answer()
+        return fleet, resent, silent
+
+    def test_flow_that_is_found_leads_to_others(self) -> None:
+        """After a kill of all processes, it tells the former service of a route."""
 
         async def async_run() -> None:
-            """Let the server send on one flow, and request on it and on another."""
-            fleet = FlowFleet(servers=1)
-            first, second = fleet.caller(), fleet.caller()
-            await second.async_open_and_request(b"one")
-            await first.async_open_and_request(b"one")
+            """Find a flow, restart its companion, and request on the other flow."""
+            fleet, resent, silent = await self.async_lose_tables_after_a_change()
+            self.assertEqual(
+                await resent.async_send_request(b"two", 1), b"answer to two"
+            )
             fleet.restart_companions()
-            fleet.start_balancer("192.0.2.200", is_listed=False)
-            fleet.directory().replace(fleet.listing(2, (ServiceShare(OTHER_SERVICE),)))
-            (server,) = fleet.servers.values()
-            server.resend_answer()
-            for caller in (first, second):
-                self.assertEqual(
-                    await caller.async_send_request(b"two", 1), b"answer to two"
-                )
+            self.assertEqual(
+                await silent.async_send_request(b"two", 1), b"answer to two"
+            )
+
+        run_in_virtual_time(async_run())
+
+    def test_companion_that_has_other_flows_of_the_address(self) -> None:
+        """After a kill of all processes, it tells the former service of a route."""
+
+        async def async_run() -> None:
+            """Request on a flow while the companion has learnt another one."""
+            _, _, silent = await self.async_lose_tables_after_a_change()
+            self.assertEqual(
+                await silent.async_send_request(b"two", 1), b"answer to two"
+            )
 
         run_in_virtual_time(async_run())
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -119,6 +119,8 @@
             if index in reply.owned:
                 self.resolve(flow, query.companion)
             elif index in reply.unsure:
+                if index in reply.served:
+                    self._record_service(lookup, query.companion)
                 self._probe_server(lookup, query.companion, query.identity)
             else:
                 self._record_denial(lookup, query.identity)
@@ -128,8 +130,7 @@
         lookup = self._pending.pop(flow, None)
         if lookup is None:
             return False
-        address, service = lookup.first_packet.receiver, companion.server.service
-        self._directory.record_flow(address, service)
+        self._record_service(lookup, companion)
         self._log.write(
             _PART,
             "owner_found",
@@ -141,6 +142,15 @@
         self._on_owner_found(lookup, companion)
         return True
 
+    def _record_service(self, lookup: FlowLookup, companion: CompanionView) -> None:
+        """Record that a companion's service has flows of the address of a lookup.
+
+        Handles this load pattern: all processes were killed after the service of a
+        route had changed. Only servers know its open flows, and nobody the service.
+        """
+        address, service = lookup.first_packet.receiver, companion.server.service
+        self._directory.record_flow(address, service)
+
     def record_returned_probe(self, flow: bytes, sender: Address) -> None:
         """Record that the backend server at an address returned a probe packet."""
         lookup = self._pending.get(flow)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
@@ -93,17 +93,21 @@
         is_own = lookup.service == self._service
         owned = []
         unsure = []
+        served = []
         for index, flow in enumerate(lookup.flows):
             entry = self._flows.get(flow)
             if entry is not None and entry.is_open:
                 owned.append(index)
             elif is_own and (entry is not None or not self._has_all_flows()):
                 unsure.append(index)
+                if self._flows.has_address_of(flow):
+                    served.append(index)
         reply = LookupReply(
             lookup.number,
             tuple(owned),
             tuple(unsure),
             self.outages.missing_entry_grace_ms,
+            tuple(served),
         )
         self._send_message(encode(reply), balancer)
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -1,6 +1,6 @@
 """The flows of one backend server and their requests in progress."""
 
-from collections import deque
+from collections import Counter, deque
 from datetime import timedelta
 
 import msgspec
@@ -82,6 +82,7 @@
         self._estimate = estimate
         self._max_flow_duration = max_flow_duration
         self._flows: dict[bytes, ServerFlow] = {}
+        self._flows_of_address: Counter[bytes] = Counter()
         self._openings: deque[ServerFlow] = deque()
         self._in_progress = 0
         self._running: dict[bytes, ServerFlow] = {}
@@ -129,6 +130,10 @@
         """Return a flow."""
         return self._flows.get(flow)
 
+    def has_address_of(self, flow: bytes) -> bool:
+        """Return whether there are flows to the service address of a flow."""
+        return flow[PACKED_ENDPOINT_BYTES:] in self._flows_of_address
+
     def set_route_settings(self, flow: bytes, settings: RouteSettings) -> None:
         """Set the settings of a flow's service address, for all flows to it.
 
@@ -183,8 +188,13 @@
     def remove(self, flow: bytes) -> None:
         """Remove a flow."""
         entry = self._flows.pop(flow, None)
-        if entry is not None:
-            self._end_request(entry)
+        if entry is None:
+            return
+        self._end_request(entry)
+        address = flow[PACKED_ENDPOINT_BYTES:]
+        self._flows_of_address[address] -= 1
+        if not self._flows_of_address[address]:
+            del self._flows_of_address[address]
 
     def record_caller_data(
         self, entry: ServerFlow, sequence: int, size: int, now: timedelta
@@ -267,6 +277,7 @@
         if len(self._flows) >= MAX_FLOWS:
             self.remove(next(iter(self._flows)))
         self._flows[entry.flow] = entry
+        self._flows_of_address[entry.flow[PACKED_ENDPOINT_BYTES:]] += 1
 
     def _end_request(self, entry: ServerFlow) -> None:
         """Mark the request of a flow as done."""
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -105,14 +105,16 @@
     The sender's backend server owns the ``owned`` flows and may own the ``unsure``
     ones: the sender started after these flows may have been opened, so only the server
     can determine it, when it receives a packet. The server certainly owns none of the
-    others. ``unsettled_ms`` is the value that balancers sent to the sender, minus the
-    time since then.
+    others. It has other flows of the addresses of ``served``, which are among the
+    unsure ones. ``unsettled_ms`` is the value that balancers sent to the sender, minus
+    the time since then.
     """
 
     number: int
     owned: tuple[int, ...]
     unsure: tuple[int, ...]
     unsettled_ms: int = 0
+    served: tuple[int, ...] = ()
 
 
 class LookupMiss(_Message, tag=4):
