Directory: log the service that a found flow tells of its address

Which services may have flows of an address is a belief that decides where packets go, and it changed without a line. service_learnt is written once an address and service, while it holds; decisions are as before.

--- a/harness/tests/test_flow_relearning.py
+++ b/harness/tests/test_flow_relearning.py
@@ -122,10 +122,12 @@
 
         async def async_run() -> None:
             """Request on a flow while the companion has learnt another one."""
-            _, _, silent = await self.async_lose_tables_after_a_change()
+            fleet, _, silent = await self.async_lose_tables_after_a_change()
             self.assertEqual(
                 await silent.async_send_request(b"two", 1), b"answer to two"
             )
+            fleet.log.flush()
+            self.assertEqual(fleet.lines.content.count(b"service_learnt"), 1)
 
         run_in_virtual_time(async_run())
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -6,6 +6,7 @@
 
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
+from pomelotrail_core.endpoint import unpack_address
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.offers import MISSING_ENTRY_GRACE
 
@@ -148,6 +149,9 @@
 
     def record_flow(self, address: bytes, service: str) -> None:
         """Record that a service has a flow of a packed address."""
+        if service not in self.possible_services(address):
+            host, port = unpack_address(address)
+            self._log.write("service_learnt", address=f"{host}:{port}", service=service)
         self._former_services.record_flow(address, service)
 
     def candidates(self, service: str) -> list[BackendServer]:
