Companions: no flow is kept for longer than flows may last

The longest duration of flows is the upper limit now. test_idle_timeout_beyond_the_longest_flow failed before.

--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -261,8 +261,8 @@
     def _retention(self, entry: ServerFlow) -> timedelta:
         """Return the time without a packet after which a flow is removed.
 
-        An open flow is kept for the longest duration of flows until a balancer reports
-        the idle time that operators set.
+        An open flow is kept until the idle time that operators set has passed, or for
+        the longest duration of flows if that is shorter or no balancer has reported it.
         """
         if entry.is_closed:
             return CLOSED_LINGER
@@ -270,7 +270,7 @@
             return OPENING_TIMEOUT
         if not self._idle_timeout:
             return self._max_flow_duration
-        return self._idle_timeout + IDLE_MARGIN
+        return min(self._idle_timeout + IDLE_MARGIN, self._max_flow_duration)
 
     def _add(self, entry: ServerFlow) -> None:
         """Add a flow and evict the oldest one if there are too many."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
@@ -143,6 +143,12 @@
         self.flows.sweep(end)
         self.assertIsNone(self.flows.get(b"flow"))
 
+    def test_idle_timeout_beyond_the_longest_flow(self) -> None:
+        """Flows of callers that are gone don't pile up for a day."""
+        self.flows.record_idle_timeout(86_400 * _SECOND)
+        self.flows.sweep(_NOW + _MAX_FLOW_DURATION)
+        self.assertIsNone(self.flows.get(b"flow"))
+
     def test_missing_response(self) -> None:
         """The slot of the request is free again after the timeout."""
         self.flows.record_caller_data(self.entry, 100, 50, _NOW)
