Directory: outdated entries are looked at after a removal only

Each placement compared every outdated entry with all known ones. With 23,000 servers that is 23,000 comparisons for each entry of a server that has crashed within three seconds. An outdated entry can only apply once another server is removed, so only then are they compared. The property of restores passes with 4,000 examples.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
@@ -51,6 +51,7 @@
         self._known: dict[str, KnownServer] = {}
         self._former: dict[str, KnownServer] = {}
         self._outdated: dict[str, KnownServer] = {}
+        self._has_removed = False
 
     @property
     def identities(self) -> list[str]:
@@ -218,6 +219,9 @@
 
         Clocks of VMs differ, so the starts of two servers may have the wrong order.
         """
+        if not self._has_removed:
+            return
+        self._has_removed = False
         for identity, outdated in list(self._outdated.items()):
             if not self._is_outdated(outdated.server):
                 del self._outdated[identity]
@@ -266,6 +270,7 @@
 
     def _remove(self, identity: str, reason: str) -> None:
         """Move a server from the known to the former servers."""
+        self._has_removed = True
         known = self._known.pop(identity)
         self._former[identity] = KnownServer(known.server, self._clock.monotonic())
         self._log.record_change("server_gone", server=identity, reason=reason)
