--- a/review/fleet.py
+++ b/review/fleet.py
@@ -329,7 +329,7 @@
         self.ended: set[bytes] = set()
         self.runs: list[tuple[float, str]] = []
         self.openings: list[tuple[float, bytes]] = []
-        self.bounced = 0
+        self.bounces: list[tuple[float, bytes]] = []
         self.is_up = False
         self.born_ms = 0
         self.sequence = 0
@@ -497,7 +497,7 @@
 
     def _bounce(self, packet: Packet) -> None:
         """Return a packet of a flow that this endpoint does not hold."""
-        self.bounced += 1
+        self.bounces.append((time.monotonic(), packet.caller_key))
         self.fleet.record.write(
             f"bounce {self.name} {self.fleet.text(packet.caller_key)}"
         )
