--- a/review/fleet.py
+++ b/review/fleet.py
@@ -699,6 +699,7 @@
         self.service = ""
         self.store_port = 0
         self._rotation = asyncio.Event()
+        self._running = asyncio.Event()
         self.own_ends: list[float] = []
         self._is_ending = False
         self._process: asyncio.subprocess.Process | None = None
@@ -711,6 +712,12 @@
         """Return whether the routers use this machine."""
         return self._rotation.is_set()
 
+    async def async_wait_for_restart(self) -> None:
+        """Wait until the process has ended and the platform has started it again."""
+        await self._process.wait()
+        self._running.clear()
+        await self._running.wait()
+
     async def async_wait_for_rotation(self) -> None:
         """Wait until the routers use this machine."""
         await self._rotation.wait()
@@ -808,12 +815,14 @@
             stdout=self._log,
             stderr=self._log,
         )
+        self._running.set()
         self.fleet.record.write(f"started {self.name} ({self._process.pid})")
 
     async def _async_keep_running(self) -> None:
         """Restart the process 0.5 s after each end, as the platform does."""
         while True:
             code = await self._process.wait()
+            self._running.clear()
             how = "was ended" if self._is_ending else "ENDED BY ITSELF"
             self.fleet.record.write(f"{self.name} {how}, code {code}")
             if not self._is_ending:
