--- a/review/2/case.py
+++ b/review/2/case.py
@@ -41,6 +41,7 @@
     await asyncio.sleep(BOUNDS["config_apply_ms"] / 1000 + 0.5)
     for number, flow in enumerate(flows):
         await flow.async_request(f"second-{number}")
+    await asyncio.sleep(0.5)
     last = None
     if has_trouble():
         for endpoint in fleet.endpoints:
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -571,6 +571,10 @@
             self._consumer.fleet.record.write(f"MIXED {self.text} got a changed packet")
             self._consumer.fleet.changed_packets += 1
             return
+        elif self.is_open and packet.data and packet.seq != self.ack:
+            # A copy of an answer that was taken; its acknowledgement was lost.
+            self.send(ACK)
+            return
         self.received.put_nowait(packet)
 
     def send(self, flags: int, data: bytes = b"", ack: int | None = None) -> None:
