--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,13 +1,17 @@
 """An entry that can't be read ends all balancers, again and again."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from fleet import Fleet, has_trouble, play  # noqa: E402
+from fleet import Fleet, play  # noqa: E402
+
+# TROUBLE=0 leaves the disruption out.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # A value that isn't valid JSON: the brackets are never closed. The store takes any
 # bytes, at most value_bytes (1,048,576).
@@ -24,7 +28,7 @@
     fleet.record.write(f"before: {served_before} of 20 requests are served")
     if served_before < 20:
         raise RuntimeError("requests fail without the disruption")
-    if has_trouble():
+    if HAS_TROUBLE:
         fleet.store.put("servers/inventory-7", UNREADABLE)
         fleet.record.write("another writer writes servers/inventory-7")
     loop = asyncio.get_running_loop()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,10 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from fleet import ConsumerFlow, Fleet, has_trouble, play  # noqa: E402
+from fleet import ConsumerFlow, Fleet, play  # noqa: E402
+
+# TROUBLE=0 leaves the disruption out.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 FIRST_IDLE_MS, RAISED_IDLE_MS = 15_000, 45_000
 PAUSE_S = 25.0
@@ -40,7 +43,7 @@
     ]
     paused, paused_at = flows[0], time.monotonic()
     await asyncio.sleep(2.0)
-    if has_trouble():
+    if HAS_TROUBLE:
         fleet.idle_timeout_ms = RAISED_IDLE_MS
         fleet.publish_configuration()
     if os.environ.get("NEW_FLOWS"):
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -1076,11 +1076,6 @@
             return prefix
 
 
-def has_trouble() -> bool:
-    """Return whether the disruption is played; ``TROUBLE=0`` leaves it out."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def play(
     make_fleet: Callable[[], Fleet], play_case: Callable[[Fleet], Awaitable[bool]]
 ) -> None:
