--- a/harness/tests/test_hostile_datagrams.py
+++ b/harness/tests/test_hostile_datagrams.py
@@ -121,6 +121,10 @@
         served = run_in_virtual_time(async_send_hostile_datagrams(datagrams))
         self.assertEqual(served, [b"answer to after", b"answer to again", 0])
 
+    def test_deeply_nested_message(self) -> None:
+        """It is malformed like others that can't be decoded."""
+        self.assertIsNone(decode(b"\x93\x05\x01" + b"\x91" * 2_000))
+
     def test_failure_of_a_handler(self) -> None:
         """The exception is logged and counted, and the next datagram is handled."""
         lines = MemoryLogWriter()
--- a/packages/pomelotrail-core/pomelotrail_core/offers/codec.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/codec.py
@@ -19,7 +19,7 @@
     """Return the message in a datagram, or None if it is malformed."""
     try:
         return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
 
 
