Companions: open flows are kept for as long as flows may last

Cause: companions dropped idle flows after the timeout of the last offer.

Change: the only limit is the longest duration of flows, after which a denial is right whatever operators change. New line: flow_expired. Related: a companion that evicted an open flow denied it; now it is unsure.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
@@ -178,7 +178,6 @@
             packet=packet.data,
             unsettled_ms=self._directory.missing_entry_grace_remaining // MILLISECOND,
             era=self._directory.revision.era,
-            idle_timeout_ms=self._directory.idle_timeout // MILLISECOND,
         )
         self._send(encode(offer), companion.fleet_address)
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
@@ -28,9 +28,6 @@
 UNANSWERED_LOAD_PENALTY: Final = 2
 # Connections on the same VM are accepted or refused in less than 1 ms.
 SERVER_CONNECT_TIMEOUT: Final = timedelta(milliseconds=200)
-# A flow is kept for this long after the idle time that operators set. A packet that
-# callers send just before may be retransmitted for some seconds.
-IDLE_MARGIN: Final = timedelta(seconds=5)
 # Both endpoints retransmit their last packets for up to 1.6 s.
 CLOSED_LINGER: Final = timedelta(seconds=4)
 # Minimum time from the start of one process to the start of the next, if the first
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -11,7 +11,7 @@
 from pomelotrail_core.offers import Offer, OfferReply, Outcome, Pong, encode
 
 from .cold_budget import ColdBudget
-from .const import MILLISECOND, SERVER_ACCEPT_TIMEOUT
+from .const import SERVER_ACCEPT_TIMEOUT
 from .outage_tracker import OutageTracker
 from .request_gate import RequestGate
 from .server_flows import RouteSettings, ServerFlow, ServerFlows
@@ -63,7 +63,6 @@
         now = self._clock.monotonic()
         self._outages.record(offer.unsettled_ms, offer.era)
         self._gate.set_slots(offer.slots)
-        self._flows.record_idle_timeout(offer.idle_timeout_ms * MILLISECOND)
         self._flows.drop_unused_openings(now)
         outcome = self._decide_outcome(offer, packet, now)
         if outcome is Outcome.ACCEPTED:
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
@@ -152,5 +152,8 @@
 
     def _has_all_flows(self) -> bool:
         """Return whether all flows of the server are tracked."""
-        age = self._clock.monotonic() - self._started
+        now = self._clock.monotonic()
+        if self._flows.may_lack_open_flows(now):
+            return False
+        age = now - self._started
         return self._accepted_all_flows or age >= self._max_flow_duration
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -14,7 +14,6 @@
 from .const import (
     CLOSED_LINGER,
     FIRST_REQUEST_TIMEOUT,
-    IDLE_MARGIN,
     MAX_FLOWS,
     OPENING_TIMEOUT,
     OVERDUE_AFTER,
@@ -51,6 +50,13 @@
     is_closed: bool = False
 
 
+class SweptFlows(msgspec.Struct, frozen=True):
+    """Open flows that were removed, and flows whose request timed out."""
+
+    expired: list[ServerFlow]
+    unanswered: list[ServerFlow]
+
+
 class RouteSettings(msgspec.Struct, frozen=True):
     """Operator settings for the requests to one service address.
 
@@ -88,7 +94,7 @@
         self._running: dict[bytes, ServerFlow] = {}
         self._unanswered: deque[timedelta] = deque()
         self._route_settings: dict[bytes, RouteSettings] = {}
-        self._idle_timeout = timedelta()
+        self._evicted_until = timedelta()
 
     def __len__(self) -> int:
         """Return the number of flows."""
@@ -134,6 +140,10 @@
         """Return whether there are flows to the service address of a flow."""
         return flow[PACKED_ENDPOINT_BYTES:] in self._flows_of_address
 
+    def may_lack_open_flows(self, now: timedelta) -> bool:
+        """Return whether a flow that was evicted may still be open."""
+        return now < self._evicted_until
+
     def set_route_settings(self, flow: bytes, settings: RouteSettings) -> None:
         """Set the settings of a flow's service address, for all flows to it.
 
@@ -148,20 +158,13 @@
             flow[PACKED_ENDPOINT_BYTES:], _DEFAULT_ROUTE_SETTINGS
         )
 
-    def record_idle_timeout(self, idle_timeout: timedelta) -> None:
-        """Record the idle time that operators set, of which the longest holds.
-
-        Balancers may report an earlier version of the configuration.
-        """
-        self._idle_timeout = max(self._idle_timeout, idle_timeout)
-
     def open(
         self, flow: bytes, balancer: Address, offer: int, now: timedelta
     ) -> ServerFlow:
         """Add a flow whose opening packet goes to the backend server."""
         self.remove(flow)
         entry = ServerFlow(flow, now, now, balancer, now, offer)
-        self._add(entry)
+        self._add(entry, now)
         self._in_progress += 1
         self._openings.append(entry)
         return entry
@@ -182,7 +185,7 @@
     def learn(self, flow: bytes, now: timedelta) -> ServerFlow:
         """Add an open flow that an earlier process of this companion accepted."""
         entry = ServerFlow(flow, now, None, ("", 0), is_open=True)
-        self._add(entry)
+        self._add(entry, now)
         return entry
 
     def remove(self, flow: bytes) -> None:
@@ -239,43 +242,46 @@
             self._unanswered.append(now)
         self._end_request(entry)
 
-    def sweep(self, now: timedelta) -> list[ServerFlow]:
-        """Remove expired flows and return the flows whose request timed out."""
-        unanswered = []
+    def sweep(self, now: timedelta) -> SweptFlows:
+        """Remove expired flows, and stop counting requests that timed out."""
+        swept = SweptFlows([], [])
         running_timeout = max(
             RUNNING_TIMEOUT, self._estimate.value * RUNNING_WORK_FACTOR
         )
         for flow, entry in list(self._flows.items()):
             if now - entry.last_used >= self._retention(entry):
+                if entry.is_open and not entry.is_closed:
+                    swept.expired.append(entry)
                 self.remove(flow)
             elif entry.started is not None:
                 if now - entry.started >= running_timeout:
                     self.record_unanswered(entry, now)
-                    unanswered.append(entry)
+                    swept.unanswered.append(entry)
             elif (
                 entry.requested is not None and now - entry.requested >= REQUEST_TIMEOUT
             ):
                 self._end_request(entry)
-        return unanswered
+        return swept
 
     def _retention(self, entry: ServerFlow) -> timedelta:
         """Return the time without a packet after which a flow is removed.
 
-        An open flow is kept until the idle time that operators set has passed, or for
-        the longest duration of flows if that is shorter or no balancer has reported it.
+        An open flow is kept for the longest duration of flows. The idle time after
+        which its server discards it is changed by operators while the flow is idle.
         """
         if entry.is_closed:
             return CLOSED_LINGER
         if not entry.is_open:
             return OPENING_TIMEOUT
-        if not self._idle_timeout:
-            return self._max_flow_duration
-        return min(self._idle_timeout + IDLE_MARGIN, self._max_flow_duration)
+        return self._max_flow_duration
 
-    def _add(self, entry: ServerFlow) -> None:
+    def _add(self, entry: ServerFlow, now: timedelta) -> None:
         """Add a flow and evict the oldest one if there are too many."""
         if len(self._flows) >= MAX_FLOWS:
-            self.remove(next(iter(self._flows)))
+            oldest = next(iter(self._flows.values()))
+            if not oldest.is_closed:
+                self._evicted_until = now + self._max_flow_duration
+            self.remove(oldest.flow)
         self._flows[entry.flow] = entry
         self._flows_of_address[entry.flow[PACKED_ENDPOINT_BYTES:]] += 1
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -155,8 +155,13 @@
             await self._clock.async_sleep(SWEEP_INTERVAL)
             now = self._clock.monotonic()
             self._flows.drop_unused_openings(now)
-            for entry in self._flows.sweep(now):
+            swept = self._flows.sweep(now)
+            for entry in swept.unanswered:
                 self._log_unanswered("request_timed_out", entry)
+            for entry in swept.expired:
+                idle_ms = _elapsed_ms(entry.last_used, now)
+                flow = flow_text(entry.flow)
+                self._log.write(_PART, "flow_expired", flow=flow, idle_ms=idle_ms)
             self._release_requests(now)
             self._ownership.sweep(now)
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -122,12 +122,6 @@
         """Return the availability zones that are out of service."""
         return self._zones_out.names
 
-    @property
-    def idle_timeout(self) -> timedelta:
-        """Return the idle time after which flows may be discarded, 0 if not set."""
-        configuration = self._configuration
-        return configuration.idle_timeout if configuration else timedelta()
-
     async def async_wait_until_usable(self) -> None:
         """Wait until a configuration is in force."""
         await self._usable.wait()
--- a/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/messages.py
@@ -97,15 +97,11 @@
 
 
 class PublishedConfiguration(msgspec.Struct, frozen=True):
-    """One complete version of the operators' configuration.
-
-    Flows may be discarded after ``idle_timeout`` without a packet.
-    """
+    """One complete version of the operators' configuration."""
 
     version: int
     routes: Mapping[bytes, Route]
     services: Mapping[str, ServiceSettings]
-    idle_timeout: timedelta = timedelta()
 
 
 class ServerItem(msgspec.Struct, frozen=True):
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -46,8 +46,6 @@
     the remaining grace period of entries that went missing in an outage of the store;
     0 without an outage. Companions forward it to balancers that have just started.
     ``era`` is that of the store which the balancer last read; 0 if unknown.
-    ``idle_timeout_ms`` is the idle time after which callers expect a flow to be
-    discarded, as set by operators; 0 if they set none.
     """
 
     number: int
@@ -60,7 +58,6 @@
     packet: bytes
     unsettled_ms: _GraceMs = 0
     era: _Era = 0
-    idle_timeout_ms: _DurationMs = 0
 
 
 class OfferReply(_Message, tag=2):
