Directory: entries of services that aren't named displace no server

Cause: of two entries with one address the later one held, whatever its service, and what it displaced was dropped for good. Evidence: server_gone with reason=address_reused right after server_seen of the foreign entry.

Change: such entries are kept aside until a version names their service. Related: a displaced entry that is still in the store applies again once the other one is gone; a service that is named no more may still own flows. The tests of the directory now begin with a configuration, as every process does.

--- a/harness/tests/test_flow_path.py
+++ b/harness/tests/test_flow_path.py
@@ -3,8 +3,11 @@
 import asyncio
 import unittest
 
-from harness.flow_fleet import FlowFleet
+import msgspec
+
+from harness.flow_fleet import FIRST_REVISION, FlowFleet, later
 from harness.virtual_time import keep_processor_busy, run_in_virtual_time
+from pomelotrail_core.directory import Listing, ServerItem
 
 
 class FlowPathTest(unittest.TestCase):
@@ -58,6 +61,34 @@
 
         run_in_virtual_time(async_run())
 
+    def test_entries_of_another_writer(self) -> None:
+        """Guards against callers that nobody serves, and flows that nobody finds."""
+
+        async def async_run() -> None:
+            """Write an entry of a service that isn't named for each server."""
+            fleet = FlowFleet(balancers=2)
+            entries = [
+                msgspec.structs.replace(
+                    fleet.server_entry(host, later(FIRST_REVISION)),
+                    identity=f"inventory-{host}",
+                    service="inventory",
+                )
+                for host in fleet.servers
+            ]
+            foreign = Listing(tuple(map(ServerItem, entries)), later(FIRST_REVISION))
+            fleet.source.revision = foreign.revision
+            for index in range(2):
+                fleet.use_balancer(index)
+                fleet.directory().apply(foreign)
+            caller = fleet.caller()
+            self.assertEqual(
+                await caller.async_open_and_request(b"one"), b"answer to one"
+            )
+            fleet.use_balancer(0)
+            self.assertEqual(await caller.async_send_request(b"two"), b"answer to two")
+
+        run_in_virtual_time(async_run())
+
     def test_flow_survives_companion_restart(self) -> None:
         """A restarted companion learns the flows of its server."""
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -30,6 +30,7 @@
     UnusableItem,
     ZoneItem,
 )
+from .named_services import NamedServices
 from .revision import Revision
 from .server_entries import ServerEntries
 from .source_outage import SourceOutage
@@ -67,6 +68,7 @@
         )
         self._zones_out = ZonesOut(clock, self._log)
         self._former_services = FormerServices(clock, max_flow_duration)
+        self._named_services = NamedServices(clock, max_flow_duration)
         self._configuration: PublishedConfiguration | None = None
         self._usable = asyncio.Event()
         self._first_listed: timedelta | None = None
@@ -165,9 +167,15 @@
     def possible_owners(self) -> list[BackendServer]:
         """Return all backend servers that may own flows, of all services.
 
-        The route may have pointed to another service when a flow was opened.
+        The route may have pointed to another service when a flow was opened, which may
+        be named no more.
         """
-        return self._servers.possible_owners()
+        owners = self._servers.possible_owners()
+        if self.knows_former_services:
+            return owners
+        hosts = {server.endpoint.host for server in owners}
+        unnamed = self._named_services.kept_aside
+        return owners + [each for each in unnamed if each.endpoint.host not in hosts]
 
     def is_removal_confirmed(self, server: BackendServer) -> bool:
         """Return whether a removed backend server is past the grace period."""
@@ -202,6 +210,7 @@
             for item in listing.items
             if isinstance(item, ServerItem)
         }
+        self._named_services.retain(listed)
         missing = [each for each in self._servers.identities if each not in listed]
         self._infer_outage(missing)
         for identity in missing:
@@ -228,17 +237,33 @@
         for item in items:
             match item:
                 case ServerItem(server):
-                    self._servers.record(server)
+                    self._record_server(server)
                 case ConfigurationItem(configuration):
                     self._adopt(configuration)
                 case ZoneItem(zone, zone_revision):
                     self._zones_out.take_out(zone, zone_revision)
                 case RemovedItem(identity, zone):
+                    self._named_services.remove(identity)
                     self._servers.record_missing(identity, is_restored=False)
                     self._zones_out.restore(zone)
                 case UnusableItem():
                     self._reject(item)
 
+    def _record_server(self, server: BackendServer) -> None:
+        """Record the entry of a backend server, or one of another writer."""
+        if self._named_services.is_named(server.service):
+            self._named_services.remove(server.identity)
+            self._servers.record(server)
+            return
+        self._named_services.keep_aside(server)
+        self._log.write(
+            "service_not_named",
+            server=server.identity,
+            service=server.service,
+            address=str(server.endpoint),
+        )
+        self._servers.record_unusable(server.identity)
+
     def record_peer_outage(self, remaining: timedelta) -> None:
         """Record an outage seen by a peer, whose expired entries may be missing here.
 
@@ -348,6 +373,8 @@
         self._log.record_change(
             "configuration_in_force", routes=len(configuration.routes)
         )
+        for server in self._named_services.record_version(configuration):
+            self._servers.record(server)
 
     def _replace_zones(self, listing: Listing, is_restored: bool) -> None:
         """Apply the zones of a full listing, unless a restore contradicts them."""
@@ -367,6 +394,7 @@
     def _reject(self, item: UnusableItem) -> None:
         """Log an entry that can't be parsed and remove the one that it replaces."""
         self._log.write("item_unusable", key=item.key, problem=item.problem)
+        self._named_services.remove(item.identity)
         self._servers.record_unusable(item.identity)
 
     def _log_listing(self, listing: Listing) -> None:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/server_entries.py
@@ -168,6 +168,7 @@
     def _put_in_force(self, known: KnownServer) -> None:
         """Put an entry in force, and log it."""
         server = known.server
+        self._former.pop(server.identity, None)
         self._known[server.identity] = known
         self._log.record_change(
             "server_seen",
@@ -229,10 +230,18 @@
                 self._put_in_force(outdated)
 
     def _remove_others_at(self, server: BackendServer) -> None:
-        """Remove the entries of other servers that had the address of this one."""
+        """Remove the entries of other servers that had the address of this one.
+
+        A late write of a server that has crashed may come after the entry of its
+        successor, which applies again once the other entry is gone.
+        """
         for identity in _identities_at(server.endpoint, self._known):
-            if identity != server.identity:
-                self._remove(identity, "address_reused")
+            if identity == server.identity:
+                continue
+            known = self._known[identity]
+            self._remove(identity, "address_reused")
+            if known.grace_ends is None:
+                self._outdated[identity] = known
 
     def _remove_expired(self) -> None:
         """Remove missing entries and former servers whose time has expired.
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/builders.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/builders.py
@@ -44,10 +44,14 @@
     return ServerItem(server(**changes))
 
 
-def configuration(version: int, cold_flows_per_s: float | None = None) -> DirectoryItem:
-    """Return a configuration without routes."""
-    services = {"ledger": ServiceSettings("ledger", cold_flows_per_s)}
-    return ConfigurationItem(PublishedConfiguration(version, {}, services))
+def configuration(
+    version: int,
+    cold_flows_per_s: float | None = None,
+    services: tuple[str, ...] = ("ledger", "desk"),
+) -> DirectoryItem:
+    """Return a configuration without routes that names services."""
+    settings = {name: ServiceSettings(name, cold_flows_per_s) for name in services}
+    return ConfigurationItem(PublishedConfiguration(version, {}, settings))
 
 
 def listing(*items: DirectoryItem, revision: int = 10, era: int = 0) -> Listing:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
@@ -28,7 +28,7 @@
     """The known state and the changes to it."""
 
     def setUp(self) -> None:
-        """Make an empty directory."""
+        """Make a directory without servers."""
         self.clock = FakeClock()
         self.lines = MemoryLogWriter()
         self.log = EventLog("test", self.clock, self.lines)
@@ -36,6 +36,7 @@
         self.directory = Directory(
             self.clock, self.log, self.counters, ENTRY_LIFETIME, MAX_FLOW_DURATION
         )
+        self.directory.apply(listing(configuration(1), revision=0))
 
     def identities(self) -> list[str]:
         """Return the identities of the candidates of the service."""
@@ -181,6 +182,26 @@
         self.directory.apply(listing(other))
         self.assertEqual(self.possible_owners(), [])
 
+    def test_late_write_of_a_crashed_server(self) -> None:
+        """Guards against a server that is lost for good to an entry which expires."""
+        self.directory.apply(listing(entry()))
+        crashed = entry(identity="server-0", service="desk", revision=2)
+        self.directory.apply(listing(crashed))
+        self.assertEqual(self.identities(), [])
+        self.directory.apply(listing(RemovedItem(identity="server-0")))
+        self.assertEqual(
+            (self.identities(), self.possible_owners()), (["server-1"], ["server-1"])
+        )
+
+    def test_crashed_server_whose_successor_leaves(self) -> None:
+        """It doesn't return once its own entry has expired."""
+        self.directory.apply(listing(entry()))
+        successor = entry(identity="server-2", service="desk", revision=2)
+        self.directory.apply(listing(successor))
+        self.directory.apply(listing(RemovedItem(identity="server-1")))
+        self.directory.apply(listing(RemovedItem(identity="server-2")))
+        self.assertEqual(self.identities(), [])
+
     def test_listing_with_an_entry_from_before_a_crash(self) -> None:
         """The later entry of an address applies, independent of their order."""
         before = entry(identity="server-1", revision=5)
@@ -201,7 +222,7 @@
     def test_cold_server(self) -> None:
         """A server is cold for the time in its entry after that was read."""
         cold = entry(cold_for=timedelta(seconds=2))
-        self.directory.apply(listing(configuration(1, 8.0), cold))
+        self.directory.apply(listing(configuration(2, 8.0), cold))
         (server,) = self.directory.candidates("ledger")
         self.assertEqual(self.directory.cold_flows_per_s(server), 8.0)
         self.clock.jump(timedelta(seconds=2))
