Directory: a silent watch is compared with the store's revision

Cause: the watch waits for 4 s and times out a second later, so an answer that is lost at its beginning is noticed after 5 s. Evidence: source_lost with no answer in 0:00:05, then configuration_in_force 0.1 s later.

Change: after 2.5 s of silence the revision is read over another connection, and a watch that the store is ahead of is begun again. Evacuations and draining servers are read by the same watch. A cancelled request closes its connection. The bound of 12 calls in 40 s without changes holds for lists and watches; the checks have one of their own, which the limit of 3 s gives.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -6,6 +6,12 @@
 # A watch whose connection is lost times out after the wait plus the margin.
 WATCH_WAIT: Final = timedelta(seconds=4)
 WATCH_TIMEOUT_MARGIN: Final = timedelta(seconds=1)
+# Half of the time after which a watch times out: an answer that is lost before or after
+# is noticed within this time, less than the 3 s in which a change must be in force.
+WATCH_CHECK_AFTER: Final = (WATCH_WAIT + WATCH_TIMEOUT_MARGIN) / 2
+# An answer that is under way when the revision is checked arrives within this time,
+# also from a store that is 60 times slower than usual.
+ANSWER_GRACE: Final = timedelta(milliseconds=250)
 # Between two calls, and after a failed one, the source may begin a new era. The next
 # answer tells, even if there is nothing to report, so it must not take long.
 WATCH_WAIT_AFTER_PAUSE: Final = timedelta(seconds=1)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
@@ -4,17 +4,20 @@
 import random
 from datetime import timedelta
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from pomelotrail_core.clock import Clock
 
 from .const import (
+    ANSWER_GRACE,
     CHANGE_BATCH_WINDOW,
+    CHECK_TIMEOUT,
     INITIAL_RETRY_DELAY,
     LIST_TIMEOUT,
     MAX_RETRY_DELAY,
     MAX_RETRY_DELAY_UNCONFIGURED,
     RETRY_JITTER,
+    WATCH_CHECK_AFTER,
     WATCH_TIMEOUT_MARGIN,
     WATCH_WAIT,
     WATCH_WAIT_AFTER_PAUSE,
@@ -27,17 +30,26 @@
 
 
 class DirectoryFollower:
-    """Reads the source; a process has one follower."""
+    """Reads the source; a process has one follower.
+
+    An answer to a watch may be lost on a connection that lives on. A watch that is
+    silent for long is therefore compared with the revision of the source.
+    """
 
     def __init__(
         self,
         source: DirectorySource,
+        check_source: DirectorySource,
         directory: Directory,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
-        """Initialize the follower that writes to ``directory``."""
+        """Initialize the follower that writes to ``directory``.
+
+        ``check_source`` reads the same source over a connection of its own.
+        """
         self._source = source
+        self._check_source = check_source
         self._directory = directory
         self._clock = clock
         self._random = random_source
@@ -73,10 +85,7 @@
         """
         wait = WATCH_WAIT
         while True:
-            changes = await self._source.async_changes(
-                self._directory.revision, wait, wait + WATCH_TIMEOUT_MARGIN
-            )
-            match changes:
+            match await self._async_changes(wait):
                 case Ok(listing) if self._is_restored(listing):
                     self._record_success(listing.revision)
                     return
@@ -93,6 +102,30 @@
                     await self._async_back_off(error)
                     wait = timedelta()
 
+    async def _async_changes(self, wait: timedelta) -> Result[Listing, SourceError]:
+        """Return the next changes, or an error if the source has not reported some."""
+        revision, timeout = self._directory.revision, wait + WATCH_TIMEOUT_MARGIN
+        watch = asyncio.create_task(self._source.async_changes(revision, wait, timeout))
+        try:
+            await asyncio.wait({watch}, timeout=WATCH_CHECK_AFTER.total_seconds())
+            if not watch.done() and await self._async_has_changed(revision):
+                await asyncio.wait({watch}, timeout=ANSWER_GRACE.total_seconds())
+                if not watch.done():
+                    detail = f"no answer to the watch after revision {revision.number}"
+                    return Err(SourceError(SourceProblem.UNREACHABLE, detail))
+            return await watch
+        finally:
+            watch.cancel()
+
+    async def _async_has_changed(self, revision: Revision) -> bool:
+        """Return whether the source is known to be at another revision."""
+        match await self._check_source.async_revision(CHECK_TIMEOUT):
+            case Ok(current):
+                return current != revision
+            case Err(error):
+                self._directory.record_check_failure(str(error))
+        return False
+
     def _is_restored(self, listing: Listing) -> bool:
         """Return whether the source began a new era since it was last read."""
         return listing.revision.era != self._directory.revision.era
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
@@ -48,6 +48,7 @@
         self._number = 0
         self._history: list[tuple[int, DirectoryItem]] = []
         self._is_reachable = True
+        self.loses_next_answer = False
         self._changed = asyncio.Event()
         for item in items:
             self.write(item)
@@ -114,6 +115,7 @@
         self, after: Revision, wait: timedelta, timeout: timedelta
     ) -> Result[Listing, SourceError]:
         """Return the changes after a number; wait for the first one."""
+        times_out_at = asyncio.get_running_loop().time() + timeout.total_seconds()
         if self._is_reachable and after.number == self._number:
             try:
                 async with asyncio.timeout(wait.total_seconds()):
@@ -121,6 +123,10 @@
             except TimeoutError:
                 # Without changes, the answer is empty.
                 pass
+        if self.loses_next_answer and after.number != self._number:
+            self.loses_next_answer = False
+            await asyncio.sleep(times_out_at - asyncio.get_running_loop().time())
+            return _unreachable()
         if not self._is_reachable:
             return _unreachable()
         if after.number > self._number:
