Companions: a server that has another address is reached there

By reading (found by the review, no case): a balancer derived the address of a server's companion once, so a server that started again under its id at another address was offered flows at the old one. A changed address makes a new view.

test_server_that_starts_again_at_another_address failed before.

--- a/harness/tests/test_flow_admission.py
+++ b/harness/tests/test_flow_admission.py
@@ -17,6 +17,7 @@
     ServerState,
     ServiceShare,
 )
+from pomelotrail_core.endpoint import Endpoint
 
 
 class AdmissionTest(unittest.TestCase):
@@ -100,6 +101,29 @@
 
         run_in_virtual_time(async_run())
 
+    def test_server_that_starts_again_at_another_address(self) -> None:
+        """Its companion is asked there."""
+
+        async def async_run() -> None:
+            """Write the entry of one of two servers with another address."""
+            fleet = FlowFleet(servers=2)
+            host, other = fleet.servers
+            before = fleet.companions().possible_owners()
+            self.assertEqual([each.fleet_address[0] for each in before], [host, other])
+            moved = msgspec.structs.replace(
+                fleet.server_entry(host, later(FIRST_REVISION)),
+                endpoint=Endpoint("192.0.2.77", 4002),
+            )
+            changes = Listing((ServerItem(moved),), later(FIRST_REVISION))
+            fleet.directory().apply(changes)
+            views = fleet.companions().possible_owners()
+            addresses = {each.fleet_address[0] for each in views}
+            self.assertEqual(addresses, {"192.0.2.77", other})
+            find = fleet.companions().find_by_address
+            self.assertIsNone(find(before[0].fleet_address))
+
+        run_in_virtual_time(async_run())
+
     def test_refusing_server_is_skipped(self) -> None:
         """A returned opening packet is offered to the next companion."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companions.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companions.py
@@ -69,13 +69,13 @@
     def _view(self, server: BackendServer) -> CompanionView:
         """Return the view of a server's companion."""
         view = self._views.get(server.identity)
-        if view is not None:
+        if view is not None and view.server.endpoint == server.endpoint:
             if view.server.started_ms != server.started_ms:
                 # With this time, the companion can tell whether it has all flows.
                 view.unsure_until = timedelta()
             view.server = server
             return view
-        host = server.endpoint.host
+        moved, host = view, server.endpoint.host
         view = CompanionView(
             server=server,
             packets_address=(host, self._packets_port),
@@ -83,6 +83,8 @@
             label=service_label(server.service),
             packed=server.endpoint.pack(),
         )
+        if moved is not None:
+            self._evict(moved.fleet_address)
         self._evict(view.fleet_address)
         self._views[server.identity] = view
         self._by_fleet_address[view.fleet_address] = view
