Admission: a server that may have started again counts as cold

Cause: balancers take it for the warm one until they have read its entry, up to 0.8 s after another change. The companion is the first to see that its server lost a flow in use or doesn't answer an opening; from then on it holds the server to the rate for cold ones for three seconds.

test_server_that_starts_again_under_its_id and test_server_that_does_not_answer_may_have_started_again failed before: 20 openings, 14 allowed.

--- a/harness/tests/test_flow_admission.py
+++ b/harness/tests/test_flow_admission.py
@@ -101,6 +101,44 @@
 
         run_in_virtual_time(async_run())
 
+    def test_server_that_starts_again_under_its_id(self) -> None:
+        """Guards against a cold server that balancers take for the warm one before."""
+
+        async def async_run() -> int:
+            """Let the server crash, and offer flows while its entry isn't read."""
+            fleet = FlowFleet(servers=1, slots=50, cold_flows_per_s=6.0)
+            (server,) = fleet.servers.values()
+            await asyncio.sleep(2)
+            caller = fleet.caller()
+            await caller.async_open_and_request(b"one")
+            server.crash()
+            self.assertIsNone(await caller.async_send_request(b"two"))
+            await asyncio.sleep(1)
+            callers = [fleet.caller() for _ in range(20)]
+            started = len(server.opening_times)
+            await asyncio.gather(*(each.async_open() for each in callers))
+            return len(server.opening_times) - started
+
+        self.assertLessEqual(run_in_virtual_time(async_run()), 6 * 1.5 + 5)
+
+    def test_server_that_does_not_answer_may_have_started_again(self) -> None:
+        """The same, if it had no flow that it could lose."""
+
+        async def async_run() -> int:
+            """Open flows while the server is down, and just after."""
+            fleet = FlowFleet(servers=1, slots=50, cold_flows_per_s=6.0)
+            (server,) = fleet.servers.values()
+            await asyncio.sleep(2)
+            server.answers_opening_packets = False
+            self.assertFalse(await fleet.caller().async_open())
+            server.answers_opening_packets = True
+            started = len(server.opening_times)
+            callers = [fleet.caller() for _ in range(20)]
+            await asyncio.gather(*(each.async_open() for each in callers))
+            return len(server.opening_times) - started
+
+        self.assertLessEqual(run_in_virtual_time(async_run()), 6 * 1.5 + 5)
+
     def test_server_that_starts_again_at_another_address(self) -> None:
         """Its companion is asked there."""
 
--- a/harness/tests/test_hostile_datagrams.py
+++ b/harness/tests/test_hostile_datagrams.py
@@ -194,6 +194,7 @@
             ("target_ms", 10**9),
             ("unsettled_ms", 2_001),
             ("era", -1),
+            ("start_per_s", -0.5),
         ):
             with self.subTest(field=field, value=value):
                 changed = msgspec.structs.replace(offer, **{field: value})
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
@@ -178,6 +178,7 @@
             packet=packet.data,
             unsettled_ms=self._directory.missing_entry_grace_remaining // MILLISECOND,
             era=self._directory.revision.era,
+            start_per_s=self._directory.start_flows_per_s(companion.server.service),
         )
         self._send(encode(offer), companion.fleet_address)
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
@@ -26,6 +26,11 @@
 UNANSWERED_WINDOW: Final = timedelta(seconds=5)
 # Makes a server with two slots decline offers that require a free slot.
 UNANSWERED_LOAD_PENALTY: Final = 2
+# A backend server that lost a flow has started again, unless it discarded the flow as
+# idle: operators allow more than this.
+LOST_FLOW_MAX_IDLE: Final = timedelta(seconds=5)
+# Balancers know within this time that a server has started again.
+RESTART_READ_DELAY: Final = timedelta(seconds=3)
 # Connections on the same VM are accepted or refused in less than 1 ms.
 SERVER_CONNECT_TIMEOUT: Final = timedelta(milliseconds=200)
 # Both endpoints retransmit their last packets for up to 1.6 s.
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -11,7 +11,7 @@
 from pomelotrail_core.offers import Offer, OfferReply, Outcome, Pong, encode
 
 from .cold_budget import ColdBudget
-from .const import SERVER_ACCEPT_TIMEOUT
+from .const import RESTART_READ_DELAY, SERVER_ACCEPT_TIMEOUT
 from .outage_tracker import OutageTracker
 from .request_gate import RequestGate
 from .server_flows import RouteSettings, ServerFlow, ServerFlows
@@ -53,6 +53,7 @@
         self._send_message = send_message
         self._send_to_server = send_to_server
         self._budget = ColdBudget(clock.monotonic())
+        self._may_be_cold_until = clock.monotonic()
 
     def handle_offer(self, offer: Offer, balancer: Address) -> None:
         """Accept or decline an offer."""
@@ -93,6 +94,17 @@
         self._flows.remove(entry.flow)
         self._correct_offer_reply(entry, Outcome.REFUSED_BY_SERVER)
 
+    def record_possible_restart(self) -> None:
+        """Record that the server may have started again.
+
+        Handles this load pattern: a server crashes and starts again under the id that
+        it had. Until balancers have read its entry, they offer flows as to a warm one.
+        """
+        now = self._clock.monotonic()
+        if now >= self._may_be_cold_until:
+            self._log.write(_PART, "server_may_be_cold")
+        self._may_be_cold_until = now + RESTART_READ_DELAY
+
     def _decide_outcome(self, offer: Offer, packet: Packet, now: timedelta) -> Outcome:
         """Return the outcome of an offer."""
         if offer.service != self._service:
@@ -101,9 +113,10 @@
             return Outcome.ACCEPTED
         if self._flows.load(now) >= offer.limit:
             return Outcome.BUSY
-        if offer.cold_per_s is not None and not self._budget.allows(
-            offer.cold_per_s, now
-        ):
+        cold_per_s = offer.cold_per_s
+        if cold_per_s is None and now < self._may_be_cold_until:
+            cold_per_s = offer.start_per_s
+        if cold_per_s is not None and not self._budget.allows(cold_per_s, now):
             return Outcome.COLD
         return Outcome.ACCEPTED
 
@@ -131,6 +144,7 @@
         """Report to the balancer that the backend server has not accepted a flow."""
         is_pending = self._flows.get(entry.flow) is entry
         if is_pending and entry.initial_sequence is None and not entry.is_open:
+            self.record_possible_restart()
             self._correct_offer_reply(entry, Outcome.SERVER_SILENT)
 
     def _correct_offer_reply(self, entry: ServerFlow, outcome: Outcome) -> None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -31,7 +31,8 @@
 
     ``initial_sequence`` is the backend server's initial sequence number, once it has
     accepted the flow. ``next_sequence`` is close to the next byte that the caller
-    expects. ``requested`` is set while a request is expected or in progress, and
+    expects. ``idle_before`` is the time between the last two packets of the caller or
+    the server. ``requested`` is set while a request is expected or in progress, and
     ``started`` once it was forwarded to the backend server.
     """
 
@@ -46,6 +47,7 @@
     caller_end: int | None = None
     acknowledged: int | None = None
     next_sequence: int = 0
+    idle_before: timedelta = timedelta()
     is_open: bool = False
     is_closed: bool = False
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -23,7 +23,7 @@
 )
 
 from .addresses import ServerProxyAddresses
-from .const import MILLISECOND, SWEEP_INTERVAL
+from .const import LOST_FLOW_MAX_IDLE, MILLISECOND, SWEEP_INTERVAL
 from .flow_admission import FlowAdmission
 from .ownership import Ownership
 from .reachability import async_is_server_gone
@@ -216,6 +216,7 @@
     def _deliver(self, entry: ServerFlow, packet: Packet, balancer: Address) -> None:
         """Deliver a packet of a flow to the backend server, or queue it."""
         now = self._clock.monotonic()
+        entry.idle_before = now - entry.last_used
         entry.last_used = now
         entry.is_open = True
         entry.next_sequence = packet.acknowledged
@@ -262,6 +263,8 @@
         elif entry is not None and entry.is_open and not entry.is_closed:
             entry.next_sequence = packet.acknowledged
             self._reset(entry, "server_lost_flow")
+            if entry.idle_before < LOST_FLOW_MAX_IDLE:
+                self._admission.record_possible_restart()
         else:
             self._ownership.handle_returned_probe(packet)
 
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -193,9 +193,18 @@
 
         Returns None for a warm one.
         """
-        if self._configuration is None or not self._servers.is_cold(server.identity):
+        if not self._servers.is_cold(server.identity):
             return None
-        settings = self._configuration.services.get(server.service)
+        return self.start_flows_per_s(server.service)
+
+    def start_flows_per_s(self, service: str) -> float | None:
+        """Return the limit on new flows per second of a server that has just started.
+
+        Returns None if operators set none for the service.
+        """
+        if self._configuration is None:
+            return None
+        settings = self._configuration.services.get(service)
         return settings.cold_flows_per_s if settings is not None else None
 
     def replace(self, listing: Listing) -> None:
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -46,6 +46,9 @@
     the remaining grace period of entries that went missing in an outage of the store;
     0 without an outage. Companions forward it to balancers that have just started.
     ``era`` is that of the store which the balancer last read; 0 if unknown.
+    ``reserved`` keeps the place of a number that earlier versions expect.
+    ``start_per_s`` is the rate of ``cold_per_s`` for a server that the balancer takes
+    for warm, in case that it has started again; None if operators set none.
     """
 
     number: int
@@ -58,6 +61,8 @@
     packet: bytes
     unsettled_ms: _GraceMs = 0
     era: _Era = 0
+    reserved: int = 0
+    start_per_s: _Rate | None = None
 
 
 class OfferReply(_Message, tag=2):
