--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -171,10 +171,10 @@
         be named no more.
         """
         owners = self._servers.possible_owners()
-        if self.knows_former_services:
+        unnamed = self._named_services.kept_aside
+        if not unnamed or self.knows_former_services:
             return owners
         hosts = {server.endpoint.host for server in owners}
-        unnamed = self._named_services.kept_aside
         return owners + [each for each in unnamed if each.endpoint.host not in hosts]
 
     def is_removal_confirmed(self, server: BackendServer) -> bool:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
@@ -110,7 +110,7 @@
             await asyncio.wait({watch}, timeout=WATCH_CHECK_AFTER.total_seconds())
             if not watch.done() and await self._async_has_changed(revision):
                 await asyncio.wait({watch}, timeout=ANSWER_GRACE.total_seconds())
-                if not watch.done():
+                if not watch.done() and not self._source.is_receiving:
                     detail = f"no answer to the watch after revision {revision.number}"
                     return Err(SourceError(SourceProblem.UNREACHABLE, detail))
             return await watch
--- a/packages/pomelotrail-core/pomelotrail_core/directory/source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/source.py
@@ -13,6 +13,11 @@
 class DirectorySource(abc.ABC):
     """A store that lists its entries and reports changes to them."""
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether the answer to the present call has begun to arrive."""
+        return False
+
     @abc.abstractmethod
     async def async_list(self, timeout: timedelta) -> Result[Listing, SourceError]:
         """Return all entries of the store."""
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
@@ -49,10 +49,17 @@
         self._history: list[tuple[int, DirectoryItem]] = []
         self._is_reachable = True
         self.loses_next_answer = False
+        self.transfer_s = 0.0
+        self._is_receiving = False
         self._changed = asyncio.Event()
         for item in items:
             self.write(item)
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether the answer to a watch is being transferred."""
+        return self._is_receiving
+
     @property
     def revision(self) -> Revision:
         """Return the revision of the last change."""
@@ -127,6 +134,10 @@
             self.loses_next_answer = False
             await asyncio.sleep(times_out_at - asyncio.get_running_loop().time())
             return _unreachable()
+        if after.number != self._number and self.transfer_s:
+            self._is_receiving = True
+            await asyncio.sleep(self.transfer_s)
+            self._is_receiving = False
         if not self._is_reachable:
             return _unreachable()
         if after.number > self._number:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_lost_answers.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_lost_answers.py
@@ -46,6 +46,19 @@
             lambda followed: followed.directory.version == 9,
         )
 
+    def test_answer_that_is_transferred_slowly(self) -> None:
+        """It isn't taken for lost once it has begun to arrive."""
+
+        async def async_test(followed: FollowedSource) -> None:
+            """Write a change whose transfer takes longer than the check waits."""
+            followed.source.transfer_s = 4.0
+            followed.source.write(configuration(9))
+            await asyncio.sleep(9)
+            self.assertEqual(followed.directory.version, 9)
+            self.assertNotIn("source_lost", followed.logged_events)
+
+        run_followed(async_test)
+
     def test_evacuation(self) -> None:
         """The zone gets no new flows."""
         self.check(
--- a/packages/pomelotrail-core/pomelotrail_core/http_client.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Final
 
@@ -72,8 +73,13 @@
         _enable_keepalive(connection.transport_socket)
         return connection
 
-    async def async_get(self, target: str) -> HttpResponse:
-        """Send a GET request and return the complete response."""
+    async def async_get(
+        self, target: str, on_data: Callable[[], None] = lambda: None
+    ) -> HttpResponse:
+        """Send a GET request and return the complete response.
+
+        ``on_data`` is called for each part of the response that arrives.
+        """
         head = f"GET {target} HTTP/1.1\r\nHost: {self._host}\r\n\r\n"
         self._writer.write(head.encode("ascii"))
         await self._writer.drain()
@@ -83,6 +89,7 @@
             if not data:
                 raise HttpError("connection closed before the end of the response")
             response.feed(data)
+            on_data()
         self._keeps_alive = response.keeps_alive
         return HttpResponse(response.status, b"".join(response.parts), response.fields)
 
