--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
 _LOSS_PROBABILITY = 0.2
 _DRAIN_DURATION_S = 4.5
 _RESTORE_OUTAGE_S = 0.3
+# Shorter faults of another writer write an entry that can't be decoded.
+_UNREADABLE_ENTRY_S = 1.0
 
 
 class FaultInjector:
@@ -58,6 +60,8 @@
             FaultKind.STORE_FORGETS: self._async_store_forgets,
             FaultKind.STORE_RESETS: self._async_store_resets,
             FaultKind.STORE_RESTORED: self._async_store_restored,
+            FaultKind.ROLL_ALL: self._async_roll_all,
+            FaultKind.FOREIGN_ENTRY: self._async_foreign_entry,
         }
         handler = handlers.get(fault.kind)
         if handler is not None:
@@ -112,6 +116,22 @@
         for balancer_vm in self._fleet.balancer_vms:
             await self._fleet.async_restart(balancer_vm.process, signal.SIGTERM)
 
+    async def _async_roll_all(self, fault: Fault) -> None:
+        """Restart all processes one after the other, the companions first."""
+        for vm in (*self._fleet.backend_vms, *self._fleet.balancer_vms):
+            await self._fleet.async_restart(vm.process, signal.SIGTERM)
+
+    async def _async_foreign_entry(self, fault: Fault) -> None:
+        """Let another writer write an entry for a VM, readable or not."""
+        vm = self._pick_backend_vm(fault)
+        key = f"inventory-{vm.index}"
+        if fault.for_s < _UNREADABLE_ENTRY_S:
+            self._fleet.store.write(f"servers/{key}", b'{"tags": ' + b"[" * 2_000)
+        else:
+            self._fleet.publish_foreign_entry(key, vm)
+        await asyncio.sleep(fault.for_s)
+        self._fleet.publisher.remove_server(key)
+
     async def _async_server_crash(self, fault: Fault) -> None:
         """Restart a backend server without flows and cold."""
         self._fleet.start_server(self._pick_backend_vm(fault), is_cold=True)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -163,6 +163,17 @@
         )
         self.publisher.configuration(self.version, routes, COLD_FLOWS_PER_S)
 
+    def publish_foreign_entry(self, identity: str, vm: BackendVM) -> None:
+        """Publish an entry for a VM whose service no configuration names."""
+        self.publisher.server(
+            identity,
+            "inventory",
+            f"{vm.link_address}:{self.ports.server}",
+            vm.zone,
+            SLOTS_PER_SERVER,
+            vm.started_ms,
+        )
+
     def start_server(self, vm: BackendVM, is_cold: bool = False) -> None:
         """Start a backend server under a new ID, without flows."""
         if vm.server_id:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -35,6 +35,8 @@
     CONFIGURATION = "configuration"
     SERVER_ADD = "server add"
     STORE_RESTORED = "store restored"
+    ROLL_ALL = "roll all"
+    FOREIGN_ENTRY = "foreign entry"
 
 
 @attrs.frozen
