--- a/packages/pomelotrail-core/pomelotrail_core/lean_process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/lean_process.py
@@ -17,6 +17,7 @@
         self._tasks: set[asyncio.Task] = set()
         self.stop = asyncio.Event()
         self.reload = asyncio.Event()
+        self.stop_reason = ""
 
     def run(self, name: str, work: Coroutine) -> None:
         """Start a task; the process stops if it fails."""
@@ -28,7 +29,7 @@
         """Set ``stop`` on SIGTERM and SIGINT, and ``reload`` on SIGHUP."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop.set)
+            loop.add_signal_handler(number, self._stop, number.name)
         loop.add_signal_handler(signal.SIGHUP, self.reload.set)
 
     def _handle_task_end(self, task: asyncio.Task) -> None:
@@ -37,6 +38,11 @@
             return
         problem = repr(task.exception())
         self._log.write("process", "task_failed", task=task.get_name(), problem=problem)
+        self._stop(f"task {task.get_name()} failed")
+
+    def _stop(self, reason: str) -> None:
+        """Set ``stop``; the first reason is the one that counts."""
+        self.stop_reason = self.stop_reason or reason
         self.stop.set()
 
 
