Build: publishes immutable releases and never changes what runs

Seen: in a checkout that several runs use, processes ended with `No module named` or `can't open file target/app/launch.py`, a running companion failed at its first readiness probe, two of three builds at once failed with `cp: cannot create directory`, and a target/ of another kind of machine was accepted while each start ended with `No module named 'msgspec._core'`.

Cause: the build removed target/app and filled it again in place, and judged target/deps by the time of a file.

Now libraries and modules are folders named by a digest of what they are made from and of the interpreter. They are filled and tried in a private folder, renamed when complete and never changed. target/app/launch.py reads a pointer for its interpreter once and hands over to its copy in that release, so that no process combines two builds. docs/design/processes.md has the layout and the ways weighed. `started` names the release.

--- /dev/null
+++ b/deploy/__init__.py
@@ -0,0 +1,1 @@
+"""The build of the roles that run on the users' VMs."""
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,14 +1,11 @@
 #!/bin/sh
-# Installs the roles and their libraries in target/ and compiles them.
+# Installs the roles and their libraries in target/; docs/design/processes.md says how.
 set -eu
-if [ ! -e target/deps/ready ] || [ requirements-platform.txt -nt target/deps/ready ] ||
-  [ constraints.txt -nt target/deps/ready ]; then
-  python3 -m pip install --quiet --disable-pip-version-check --upgrade \
-    --target target/deps --constraint constraints.txt \
-    --requirement requirements-platform.txt
-  touch target/deps/ready
+cd "$(dirname "$0")/.."
+umask 022
+if ! python3 -I -S -c 'import sys; sys.exit(sys.version_info < (3, 11))'; then
+  echo "build: python3 is missing or older than 3.11; install Python 3.11 or newer" \
+    "as python3, for that is what starts the roles" >&2
+  exit 1
 fi
-rm -rf target/app
-mkdir -p target/app
-cp -R packages/*/pomelotrail_* platform/pomelotrail_platform platform/launch.py target/app
-python3 -m compileall -q target/deps target/app
+exec python3 -E -s -B -m deploy.build
--- /dev/null
+++ b/deploy/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the build."""
