Build: modules that were compiled again don't make another release

Operators saw two releases of the same sources, one named KEY.1. Files in __pycache__ are no longer compared; that the modules load is still tried.

--- a/deploy/const.py
+++ b/deploy/const.py
@@ -7,6 +7,7 @@
 BUILD_TIME_LIMIT: Final = timedelta(minutes=15)
 PRIVATE_PREFIX: Final = "building-"
 CONTENTS_FILE: Final = "contents"
+COMPILED_FOLDER: Final = "__pycache__"
 REQUIREMENT_FILES: Final = ("requirements-platform.txt", "constraints.txt")
 # Digits of a digest that name a folder.
 KEY_LENGTH: Final = 16
--- a/deploy/folders.py
+++ b/deploy/folders.py
@@ -14,6 +14,7 @@
 
 from .const import (
     BUILD_TIME_LIMIT,
+    COMPILED_FOLDER,
     CONTENTS_FILE,
     DIGEST_WIDTH,
     KEY_LENGTH,
@@ -121,7 +122,12 @@
         made = private / folder.name
         made.mkdir()
         recipe.fill(made, folder)
-        files = [path for path in made.rglob("*") if path.is_file()]
+        # Modules may be compiled again, so what was compiled isn't compared.
+        files = [
+            path
+            for path in made.rglob("*")
+            if path.is_file() and path.parent.name != COMPILED_FOLDER
+        ]
         (made / CONTENTS_FILE).write_text(digest_files(made, files))
         problem = recipe.find_problem(made)
         if problem:
--- a/deploy/tests/test_build.py
+++ b/deploy/tests/test_build.py
@@ -1,5 +1,6 @@
 """Tests that a build doesn't disturb processes and other builds."""
 
+import compileall
 import os
 import shutil
 import signal
@@ -179,6 +180,15 @@
         for path in (checkout.target, *checkout.target.rglob("*")):
             path.chmod(path.stat().st_mode | stat.S_IWUSR)
 
+    def test_modules_that_are_compiled_again(self) -> None:
+        """Guards against another release when a tool compiles the modules again."""
+        checkout = self.factory.make_built()
+        for folder in ("releases", "libraries"):
+            compileall.compile_dir(checkout.target / folder, force=True, quiet=1)
+        checkout.build()
+        for folder in ("releases", "libraries"):
+            self.assertEqual(len(list((checkout.target / folder).iterdir())), 1)
+
     def test_copy_without_modification_times(self) -> None:
         """Guards against modules that are compiled again after a copy of the tree."""
         checkout = self.factory.make_built()
