Metrics: the metrics of a started role are rendered

Operators saw connections to the metrics port and to /metrics at the readiness address closed without an answer, on every role that launch.py had started.

Cause: launch.py prevents the import of ssl, which saves 4 MB, and prometheus_client 0.26 imports ssl with its first import. The tests of metrics start roles without launch.py, so they did not notice.

The prevention ends with the first scrape. asyncio was imported without ssl by then, so only processes that are scraped pay for it.

--- a/packages/pomelotrail-core/pomelotrail_core/counters/counters.py
+++ b/packages/pomelotrail-core/pomelotrail_core/counters/counters.py
@@ -5,6 +5,7 @@
 text and is imported at the first scrape.
 """
 
+import sys
 from bisect import bisect_left
 from collections import Counter
 from collections.abc import Iterator
@@ -99,6 +100,16 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        _allow_ssl()
         from prometheus_client import generate_latest
 
         return generate_latest(self)  # type: ignore[arg-type]
+
+
+def _allow_ssl() -> None:
+    """Let modules import ssl, which the start of a role prevents to save memory.
+
+    ``prometheus_client`` imports it, and asyncio has been imported without it by now.
+    """
+    if "ssl" in sys.modules and sys.modules["ssl"] is None:
+        del sys.modules["ssl"]
