--- a/packages/pomelotrail-core/pomelotrail_core/http_service/connection.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_service/connection.py
@@ -8,6 +8,7 @@
 import httptools
 
 from .const import IDLE_TIMEOUT, MAX_PENDING_REQUESTS, READ_BYTES
+from .errors import HandlerError
 from .messages import Handler, HttpReply
 
 _REASONS: Final = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
@@ -18,7 +19,10 @@
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
-    """Answer requests until the connection closes or fails."""
+    """Answer requests until the connection closes or fails.
+
+    A handler that fails raises ``HandlerError``.
+    """
     requests = _RequestCollector()
     try:
         while requests.keeps_alive:
@@ -68,12 +72,23 @@
 ) -> None:
     """Send the reply to one request."""
     path, has_body = request
-    handler = handlers.get(path)
-    reply = await handler() if handler is not None else HttpReply(404)
+    reply = await _async_reply(handlers, path)
     head = (
         f"HTTP/1.1 {reply.status} {_REASONS.get(reply.status, 'Status')}\r\n"
         f"Content-Length: {len(reply.body)}\r\n"
         f"Content-Type: {reply.content_type}\r\n\r\n"
     )
     writer.write(head.encode() + (reply.body if has_body else b""))
-    await writer.drain()
+    async with asyncio.timeout(IDLE_TIMEOUT.total_seconds()):
+        await writer.drain()
+
+
+async def _async_reply(handlers: Mapping[str, Handler], path: str) -> HttpReply:
+    """Return the reply to a request; an error of its handler is not the client's."""
+    handler = handlers.get(path)
+    if handler is None:
+        return HttpReply(404)
+    try:
+        return await handler()
+    except Exception as error:
+        raise HandlerError(path, error) from error
