--- a/packages/pomelotrail-core/pomelotrail_core/lean_process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/lean_process.py
@@ -4,9 +4,12 @@
 import gc
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
+from typing import Final
 
 from pomelotrail_core.event_log import EventLog
 
+_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 class Role:
     """The tasks of a process and the events that its signals set."""
@@ -50,4 +53,16 @@
     """Run ``main``; objects created before are excluded from garbage collection."""
     gc.freeze()
     gc.enable()
-    asyncio.run(main())
+    asyncio.run(_async_run_then_block_signals(main))
+
+
+async def _async_run_then_block_signals(main: Callable[[], Awaitable[None]]) -> None:
+    """Run ``main``, and leave further signals pending once it has ended.
+
+    When the event loop is closed, its handlers are replaced by the default actions, so
+    that a signal during the last milliseconds would look like a crash.
+    """
+    try:
+        await main()
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, _SIGNALS)
