Log: a log that can't be written ends no process

Operators saw processes that ended for no stated reason when the reader of the log went away, its device was full, or standard output was closed: the task "log" failed and stopped the process, and each restart ended the same way.

Cause: errors of os.write reached the task and the flush at the stop; os.set_blocking failed on a closed descriptor. It also set the flag on the open file description that others share, who may reset it, after which a reader that stands still blocks the event loop.

Now failed lines are kept up to the bound of the buffer, further ones dropped and counted, writing is tried again every second, and log_back tells problem, duration and dropped lines. A line that was cut off is written again on a line of its own. Pipes and terminals get a description of our own; where that is refused they are polled; sockets get the flag in each call; files are written as they are.

Evidence: harness.tests.test_log_failures on the code before failed 3 of 3: the companion had ended with BrokenPipeError, OSError 28 and a closed descriptor. With the fix it passes, and so do the tests of the writers on real pipes, sockets, files and /dev/full.

--- a/packages/pomelotrail-core/pomelotrail_core/event_log/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/event_log/__init__.py
@@ -1,5 +1,6 @@
 """Structured, rate-limited, non-blocking log of decisions and state changes."""
 
-from .event_log import EventLog, LogWriter, StandardOutput
+from .event_log import EventLog
+from .writers import LogWriter, open_standard_error, open_standard_output
 
-__all__ = ["EventLog", "LogWriter", "StandardOutput"]
+__all__ = ["EventLog", "LogWriter", "open_standard_error", "open_standard_output"]
--- a/packages/pomelotrail-core/pomelotrail_core/event_log/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/event_log/const.py
@@ -12,3 +12,7 @@
 # Lines are written in batches to save system calls; a process that is killed
 # loses the lines of this period.
 FLUSH_DELAY: Final = timedelta(milliseconds=100)
+# Bytes passed to one write, about what a pipe holds; bounds the copy of the lines.
+MAX_WRITE_BYTES: Final = 65_536
+# A write that failed (reader gone, device full) is tried again after this time.
+RETRY_INTERVAL: Final = timedelta(seconds=1)
--- a/stand_ins/platform_fleet.py
+++ b/stand_ins/platform_fleet.py
@@ -189,18 +189,28 @@
 class PlatformFleet:
     """Balancers, companions, a store and backend servers on one machine."""
 
-    def __init__(self, directory: Path, balancers: int = 2, servers: int = 3) -> None:
-        """Describe the fleet."""
+    def __init__(
+        self,
+        directory: Path,
+        balancers: int = 2,
+        servers: int = 3,
+        prelude: str = "",
+    ) -> None:
+        """Describe the fleet; each process executes ``prelude`` first."""
         self.store = PlatformStore()
         self.network = LoopbackNetwork()
         self._addresses = ClaimedNetwork()
         prefix = self._addresses.prefix
         self.balancers = [
-            RoleProcess("balancer", f"entry-{i}", f"{prefix}.1.{i + 1}", directory)
+            RoleProcess(
+                "balancer", f"entry-{i}", f"{prefix}.1.{i + 1}", directory, prelude
+            )
             for i in range(balancers)
         ]
         self.companions = [
-            RoleProcess("companion", f"side-{i}", f"{prefix}.2.{i + 1}", directory)
+            RoleProcess(
+                "companion", f"side-{i}", f"{prefix}.2.{i + 1}", directory, prelude
+            )
             for i in range(servers)
         ]
         self.ports = free_ports(f"{prefix}.2.1")
