--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -208,9 +208,19 @@
         )
 
     def _run_round(self) -> None:
-        """Continue all lookups that are due and drop idle ones."""
+        """Continue lookups and schedule the next round."""
         self._round_timer = None
         now = self._clock.monotonic()
+        try:
+            self._continue_lookups(now)
+        finally:
+            # A lookup that fails must not keep the others waiting for good.
+            if self._pending:
+                due = min(each.due for each in self._pending.values())
+                self._schedule_round(max(due, now + BATCH_INTERVAL), now)
+
+    def _continue_lookups(self, now: timedelta) -> None:
+        """Continue all lookups that are due and drop idle ones."""
         possible_owners = self._companions.possible_owners()
         for lookup in list(self._pending.values()):
             if now - lookup.last_packet_at >= LOOKUP_IDLE_TIMEOUT:
@@ -218,9 +228,6 @@
             elif lookup.due <= now:
                 self._continue_lookup(lookup, possible_owners, now)
         self._budget.spend(self._queries.send())
-        if self._pending:
-            due = min(each.due for each in self._pending.values())
-            self._schedule_round(max(due, now + BATCH_INTERVAL), now)
 
     def _continue_lookup(
         self,
@@ -347,8 +354,10 @@
 
     async def _async_check(self, lookup: FlowLookup) -> None:
         """Check that the directory has all entries of when the lookup started."""
-        lookup.is_complete = await self._check.async_is_complete(lookup.started)
-        lookup.is_checking = False
+        try:
+            lookup.is_complete = await self._check.async_is_complete(lookup.started)
+        finally:
+            lookup.is_checking = False
         if lookup.is_complete and self._pending.get(lookup.flow) is lookup:
             now = self._clock.monotonic()
             lookup.due = now
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/opening_queue.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/opening_queue.py
@@ -47,12 +47,15 @@
 
     def _place_newest(self) -> None:
         """Place some openings and schedule the next iteration."""
-        for _ in range(min(OPENINGS_PER_ITERATION, len(self._waiting))):
-            _, packet = self._waiting.pop()
-            self._place(packet)
-        self._drop_expired()
-        if self._waiting:
-            asyncio.get_running_loop().call_soon(self._place_newest)
+        try:
+            for _ in range(min(OPENINGS_PER_ITERATION, len(self._waiting))):
+                _, packet = self._waiting.pop()
+                self._place(packet)
+            self._drop_expired()
+        finally:
+            # An opening that fails must not keep the others waiting for good.
+            if self._waiting:
+                asyncio.get_running_loop().call_soon(self._place_newest)
 
     def _drop_expired(self) -> None:
         """Drop openings whose callers have retransmitted them."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/tests/test_opening_queue.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/tests/test_opening_queue.py
@@ -63,3 +63,31 @@
         self.assertGreaterEqual(len(waits), 400)
         self.assertLess(max(waits), 0.4)
         self.assertLess(sorted(waits)[len(waits) // 2], 0.2)
+
+    def test_opening_that_fails(self) -> None:
+        """Guards against a queue that places nothing more after one failure."""
+        placed: list[bytes] = []
+
+        async def async_run() -> None:
+            """Queue openings of which the first one placed fails."""
+            errors: list[dict] = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: errors.append(context))
+
+            def place(packet) -> None:  # noqa: ANN001
+                """Fail at the first opening."""
+                if not errors and not placed:
+                    placed.append(b"")
+                    raise MemoryError
+                placed.append(packet.sender)
+
+            log = EventLog("test", VirtualClock(), MemoryLogWriter())
+            queue = OpeningQueue(VirtualClock(), log, Counters(), place)
+            for index in range(20):
+                packet = make_packet(index.to_bytes(6), _SERVICE, 1, 0, opens=True)
+                queue.add(packet)
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(errors), 1)
+
+        run_in_virtual_time(async_run())
+        self.assertEqual(len(placed), 20)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -238,9 +238,21 @@
         self._apply_items(listing.items, listing.revision)
 
     def _apply_items(self, items: Sequence[DirectoryItem], revision: Revision) -> None:
-        """Apply items that were read up to a revision."""
-        self._log.revision = revision
+        """Apply items that were read up to a revision.
+
+        If that fails, the earlier revision holds, so that the directory doesn't count
+        as complete until its source is listed again.
+        """
+        known, self._log.revision = self._log.revision, revision
         self._counters.set_gauge("store_era", revision.era)
+        try:
+            self._apply_each(items)
+        except BaseException:
+            self._log.revision = known
+            raise
+
+    def _apply_each(self, items: Sequence[DirectoryItem]) -> None:
+        """Apply items in order."""
         removed = [entry for entry in items if isinstance(entry, RemovedItem)]
         self._infer_outage([entry.identity for entry in removed])
         for item in items:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_directory.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -67,6 +68,23 @@
             highest = directory.version
         self.assertEqual(highest, max(versions, default=0))
 
+    def test_changes_that_fail_halfway(self) -> None:
+        """Guards against resets of flows whose servers were never recorded.
+
+        A directory that claims a revision counts as complete up to it.
+        """
+        known = self.directory.revision
+        changes = listing(entry(), revision=7)
+        failing = mock.patch.object(
+            self.directory._servers, "record", side_effect=MemoryError
+        )
+        with failing, self.assertRaises(MemoryError):
+            self.directory.apply(changes)
+        self.assertEqual(self.directory.revision, known)
+        self.directory.replace(changes)
+        self.assertEqual(self.directory.revision, changes.revision)
+        self.assertEqual(self.identities(), ["server-1"])
+
     def test_leaving_server(self) -> None:
         """A leaving server gets no new flows and keeps its open ones."""
         self.directory.apply(listing(entry()))
