Store: large entries of other writers don't exhaust a balancer's memory

A balancer held all pages of a listing at once, and any answer to a watch, whatever its size.

Causes: raw pages were kept until the end of the listing; parser and response refer to each other, so each body stayed until the garbage collector ran; no response had a limit, so a head or a body without end took all memory.

Changes that are too large for an answer are read page by page after a line changes_too_large; asking for them again would bring the same answer.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -308,6 +308,11 @@
         """Record that a query of the source's revision failed."""
         self._log.write("check_failed", reason=reason)
 
+    def record_large_changes(self, reason: str) -> None:
+        """Record that changes are too large for one answer; a listing follows."""
+        self._counters.add("changes_too_large")
+        self._log.write("changes_too_large", reason=reason)
+
     def record_source_reached(self, revision: Revision) -> None:
         """Record that the source answered, with the revision that it is at."""
         if not self._outage.is_current:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/errors.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/errors.py
@@ -1,6 +1,7 @@
 """Errors raised while reading the source of the directory."""
 
 import enum
+from typing import Final
 
 import msgspec
 
@@ -12,6 +13,11 @@
     OVERLOADED = "overloaded"
     UNREACHABLE = "unreachable"
     MALFORMED = "malformed"
+    TOO_LARGE = "too large"
+
+
+# The changes that could not be read are in the next listing, which has pages.
+_LISTED_AGAIN: Final = (SourceProblem.HISTORY_LOST, SourceProblem.TOO_LARGE)
 
 
 class SourceError(msgspec.Struct, frozen=True):
@@ -24,7 +30,7 @@
         """Return the problem and how it is handled."""
         remedy = (
             "all entries are listed again"
-            if self.problem is SourceProblem.HISTORY_LOST
+            if self.problem in _LISTED_AGAIN
             else "the known state stays in force and the call is retried"
         )
         return f"{self.problem.value}: {self.detail}; {remedy}"
--- a/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
@@ -80,6 +80,8 @@
     async def _async_watch(self) -> None:
         """Apply changes until the source lacks the history that is needed.
 
+        Changes that are too large for one answer are read with the next listing.
+
         Revisions of different eras are positions in different histories, so the changes
         between them are unknown.
         """
@@ -98,6 +100,10 @@
                         wait = WATCH_WAIT_AFTER_PAUSE
                 case Err(SourceError(problem=SourceProblem.HISTORY_LOST)):
                     return
+                case Err(SourceError(problem=SourceProblem.TOO_LARGE) as error):
+                    self._directory.record_large_changes(str(error))
+                    await self._async_wait_for_batch()
+                    return
                 case Err(error):
                     await self._async_back_off(error)
                     wait = timedelta()
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_follower.py
@@ -107,6 +107,16 @@
         )
         self.assertEqual(follow(source, 0.01).version, 4)
 
+    def test_changes_that_are_too_large_are_listed(self) -> None:
+        """Guards against a follower that asks for the same changes for ever."""
+        source = ScriptedSource(
+            [Ok(listing(configuration(version))) for version in range(1, 5)],
+            [failure(SourceProblem.TOO_LARGE)] * 3,
+        )
+        self.assertEqual(follow(source, 10).version, 4)
+        kinds = [kind for _, kind in source.calls]
+        self.assertEqual(kinds.count("list"), 4)
+
     def test_failures_are_spread_out(self) -> None:
         """A store that rejects calls gets few of them, and the version is kept."""
         source = ScriptedSource(
--- a/packages/pomelotrail-core/pomelotrail_core/http_client.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_client.py
@@ -23,15 +23,25 @@
 )
 
 
+# A head has a status line and a few fields. It is checked for each part that arrives.
+MAX_HEAD_BYTES: Final = 65_536
+# A larger response is given up, since its content takes several times as much memory.
+MAX_RESPONSE_BYTES: Final = 8_388_608
+
+
 class HttpError(Exception):
     """A response that is not valid HTTP or is incomplete."""
 
 
+class ResponseTooLargeError(HttpError):
+    """A response that is larger than memory allows."""
+
+
 class HttpResponse(msgspec.Struct):
     """The status, body and header fields of a response; field names in lower case."""
 
     status: int
-    body: bytes
+    body: bytearray
     fields: dict[str, str]
 
 
@@ -78,20 +88,24 @@
     ) -> HttpResponse:
         """Send a GET request and return the complete response.
 
+        Raises ``HttpError`` if it is not valid or exceeds the limits of its size.
         ``on_data`` is called for each part of the response that arrives.
         """
         head = f"GET {target} HTTP/1.1\r\nHost: {self._host}\r\n\r\n"
         self._writer.write(head.encode("ascii"))
         await self._writer.drain()
         response = _ResponseParser()
-        while not response.is_complete:
-            data = await self._reader.read(_READ_BYTES)
-            if not data:
-                raise HttpError("connection closed before the end of the response")
-            response.feed(data)
-            on_data()
+        try:
+            while not response.is_complete:
+                data = await self._reader.read(_READ_BYTES)
+                if not data:
+                    raise HttpError("connection closed before the end of the response")
+                response.feed(data)
+                on_data()
+        finally:
+            response.release_parser()
         self._keeps_alive = response.keeps_alive
-        return HttpResponse(response.status, b"".join(response.parts), response.fields)
+        return HttpResponse(response.status, response.body, response.fields)
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -116,11 +130,13 @@
 
     def __init__(self) -> None:
         """Initialize an empty response."""
-        self.parts: list[bytes] = []
+        self.body = bytearray()
         self.fields: dict[str, str] = {}
         self.status = 0
         self.is_complete = False
         self.keeps_alive = False
+        self._size = 0
+        self._has_head = False
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -129,14 +145,32 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             raise HttpError(f"not an HTTP response: {error}") from error
+        self._size += len(data)
+        if not self._has_head and self._size > MAX_HEAD_BYTES:
+            raise ResponseTooLargeError(f"no end of the head in {self._size} bytes")
+        if self._size > MAX_RESPONSE_BYTES and not self.is_complete:
+            raise ResponseTooLargeError(f"no end of the response in {self._size} bytes")
+
+    def release_parser(self) -> None:
+        """Release the parser, which refers to this object.
+
+        Otherwise the body would stay in memory until the garbage collector runs.
+        """
+        self._parser = None
+
+    def on_headers_complete(self) -> None:
+        """Record that the head is complete."""
+        self._has_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header field."""
+        """Record a header field; those after the body have no use."""
+        if self._has_head:
+            return
         self.fields[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
-        self.parts.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Record the status at the end of the response."""
--- a/stand_ins/platform_fleet.py
+++ b/stand_ins/platform_fleet.py
@@ -180,6 +180,12 @@
         """Return whether the process was started and has not exited."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def peak_memory_bytes(self) -> int:
+        """Return the highest resident size that the running process has had."""
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        return int(status.partition("VmHWM:")[2].split()[0]) * 1024
+
     def lines(self) -> list[dict]:
         """Return the lines of the structured log."""
         text = self.log.read_text().splitlines()
--- a/stand_ins/platform_store/store.py
+++ b/stand_ins/platform_store/store.py
@@ -51,9 +51,13 @@
         store.restore(copy)
     """
 
-    def __init__(self, page_items: int = 500) -> None:
-        """Initialize without items."""
+    def __init__(self, page_items: int = 500, page_bytes: int = 1_048_576) -> None:
+        """Initialize without items.
+
+        A page ends with the item that reaches a limit.
+        """
         self.faults = StoreFaults()
+        self._page_bytes = page_bytes
         self.calls: list[str] = []
         self._page_items = page_items
         self._items: dict[str, _StoredItem] = {}
@@ -169,7 +173,7 @@
             return faulty
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
-        page = keys[: self._page_items]
+        page = self._first_page(keys)
         content = {
             "items": [_encode_item(self._items[key]) for key in page],
             "has_more": len(page) < len(keys),
@@ -181,6 +185,15 @@
             self._next_copy = None
         return response
 
+    def _first_page(self, keys: list[str]) -> list[str]:
+        """Return the first keys, as many as one page has."""
+        size = 0
+        for index, key in enumerate(keys[: self._page_items]):
+            size += len(self._items[key].value)
+            if size >= self._page_bytes:
+                return keys[: index + 1]
+        return keys[: self._page_items]
+
     async def _async_watch(self, request: web.Request) -> web.Response:
         """Return the changes after a revision, waiting for the first one."""
         if (faulty := await self._async_apply_faults(request)) is not None:
