Tests: processes without a descriptor left go on and recover

The balancer loses its connections to the store and each process is scraped for the first time while nothing can be opened: both go on, forward packets, and recover once descriptors are free.

It is kept since each of the paths (connect, accept, imports) has code of its own.

--- a/stand_ins/platform_fleet.py
+++ b/stand_ins/platform_fleet.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -180,6 +181,12 @@
         """Return whether the process was started and has not exited."""
         return self._process is not None and self._process.returncode is None
 
+    def limit_descriptors(self, number: int) -> None:
+        """Let the running process open no descriptor from a number on."""
+        _, most = resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE)
+        limits = (min(number, most), most)
+        resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limits)
+
     @property
     def peak_memory_bytes(self) -> int:
         """Return the highest resident size that the running process has had."""
--- a/stand_ins/platform_store/store.py
+++ b/stand_ins/platform_store/store.py
@@ -86,6 +86,10 @@
         await self._runner.shutdown()
         await self._runner.cleanup()
 
+    async def async_drop_connections(self) -> None:
+        """Close the connections that are open now."""
+        await self._runner.server.shutdown(0)
+
     def write(self, key: str, value: bytes) -> None:
         """Write an item."""
         self._record_change(key, value)
