HTTP: a request without an end closes its connection

A client of the readiness or metrics address could send a target, a field or a body without end; the parser kept what it had of it, and only a pause of 15 s ended the connection. A request ends at 64 KB now.

Evidence: test_requests_without_an_end_close_the_connection, on the code before: ConnectionError not raised, for each of the three kinds, after 13 MB were taken.

--- a/packages/pomelotrail-core/pomelotrail_core/http_service/connection.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_service/connection.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from .const import IDLE_TIMEOUT, MAX_PENDING_REQUESTS, READ_BYTES
+from .const import IDLE_TIMEOUT, MAX_PENDING_REQUESTS, MAX_REQUEST_BYTES, READ_BYTES
 from .messages import Handler, HttpReply
 
 _REASONS: Final = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}
@@ -42,11 +42,18 @@
         self.complete: deque[tuple[str, bool]] = deque()
         self.keeps_alive = True
         self._target = b""
+        self._incomplete_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes; raise an error for invalid HTTP."""
+        """Parse received bytes; raise an error for invalid HTTP.
+
+        A request that doesn't end counts as invalid before it takes all memory.
+        """
+        self._incomplete_bytes += len(data)
         self._parser.feed_data(data)
+        if self._incomplete_bytes > MAX_REQUEST_BYTES:
+            raise httptools.HttpParserError("request is too large")
 
     def on_url(self, data: bytes) -> None:
         """Append a part of the request target."""
@@ -56,6 +63,7 @@
         """Record a complete request: its path, and whether its reply has a body."""
         path = self._target.decode("ascii", "replace").partition("?")[0]
         self._target = b""
+        self._incomplete_bytes = 0
         self.complete.append((path, self._parser.get_method() != b"HEAD"))
         is_over_limit = len(self.complete) >= MAX_PENDING_REQUESTS
         self.keeps_alive = self._parser.should_keep_alive() and not is_over_limit
--- a/packages/pomelotrail-core/pomelotrail_core/http_service/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_service/const.py
@@ -10,3 +10,5 @@
 MAX_CONNECTIONS: Final = 64
 # A client that pipelines this many requests is answered and then disconnected.
 MAX_PENDING_REQUESTS: Final = 16
+# Probes and scrapes have some hundred bytes.
+MAX_REQUEST_BYTES: Final = 65_536
--- a/packages/pomelotrail-core/pomelotrail_core/http_service/tests/test_service.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_service/tests/test_service.py
@@ -7,6 +7,10 @@
 
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.http_service import HttpReply, HttpService
+from pomelotrail_core.http_service.const import MAX_REQUEST_BYTES
+
+# More than the buffers of a connection hold.
+_PARTS = 200
 
 
 class HttpServiceTest(unittest.IsolatedAsyncioTestCase):
@@ -39,3 +43,21 @@
         await reader.read()
         writer.close()
         await self.test_requests()
+
+    async def test_requests_without_an_end_close_the_connection(self) -> None:
+        """Guards against a client that fills the memory of a process."""
+        heads = (
+            b"GET /",
+            b"GET /ready HTTP/1.1\r\nName: ",
+            b"POST /ready HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+        )
+        for head in heads:
+            with self.subTest(head):
+                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                self.addCleanup(writer.close)
+                writer.write(head)
+                with self.assertRaises(ConnectionError):
+                    for _ in range(_PARTS):
+                        writer.write(b"a" * MAX_REQUEST_BYTES)
+                        await writer.drain()
+        await self.test_requests()
