--- a/packages/pomelotrail-core/pomelotrail_core/datagram_callback.py
+++ b/packages/pomelotrail-core/pomelotrail_core/datagram_callback.py
@@ -2,12 +2,16 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Final
 
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagrams import DatagramSocket
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.event_log import EventLog
 
+# Texts of errors may quote the datagram.
+_MAX_PROBLEM_LENGTH: Final = 500
+
 Address = tuple[str, int]
 DatagramHandler = Callable[[bytes, Address], None]
 SendDatagram = Callable[[bytes, Address], None]
@@ -35,9 +39,8 @@
             received(data, sender)
         except Exception as error:  # noqa: BLE001
             counters.add("datagrams_failed")
-            log.write(
-                "process", "datagram_failed", sender=sender[0], problem=repr(error)
-            )
+            problem = repr(error)[:_MAX_PROBLEM_LENGTH]
+            log.write("process", "datagram_failed", sender=sender[0], problem=problem)
 
     return receive
 
--- a/packages/pomelotrail-core/pomelotrail_core/lean_process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/lean_process.py
@@ -24,6 +24,8 @@
 _CALLBACK_LINE_INTERVAL: Final = timedelta(seconds=1)
 # Without memory, each iteration of the event loop would fail at once.
 _OUT_OF_MEMORY_PAUSE: Final = timedelta(milliseconds=20)
+# Texts of errors may quote what they are about.
+_MAX_PROBLEM_LENGTH: Final = 500
 _PART: Final = "process"
 _MILLISECOND: Final = timedelta(milliseconds=1)
 
@@ -103,7 +105,7 @@
             _PART,
             "task_failed",
             task=name,
-            problem=repr(problem),
+            problem=repr(problem)[:_MAX_PROBLEM_LENGTH],
             place=_innermost_place(problem),
             attempt=attempt,
             retry_ms=delay // _MILLISECOND,
@@ -137,7 +139,7 @@
         self._log.write(
             _PART,
             "callback_failed",
-            problem=repr(error) if error is not None else "",
+            problem=repr(error)[:_MAX_PROBLEM_LENGTH] if error is not None else "",
             place=_innermost_place(error),
             message=str(context.get("message", "")),
             failures=self._counters.value("callbacks_failed"),
