--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -238,9 +238,21 @@
         self._apply_items(listing.items, listing.revision)
 
     def _apply_items(self, items: Sequence[DirectoryItem], revision: Revision) -> None:
-        """Apply items that were read up to a revision."""
-        self._log.revision = revision
+        """Apply items that were read up to a revision.
+
+        If that fails, the earlier revision holds, so that the directory doesn't count
+        as complete until its source is listed again.
+        """
+        known, self._log.revision = self._log.revision, revision
         self._counters.set_gauge("store_era", revision.era)
+        try:
+            self._apply_each(items)
+        except BaseException:
+            self._log.revision = known
+            raise
+
+    def _apply_each(self, items: Sequence[DirectoryItem]) -> None:
+        """Apply items in order."""
         removed = [entry for entry in items if isinstance(entry, RemovedItem)]
         self._infer_outage([entry.identity for entry in removed])
         for item in items:
@@ -296,6 +308,11 @@
         """Record that a query of the source's revision failed."""
         self._log.write("check_failed", reason=reason)
 
+    def record_large_changes(self, reason: str) -> None:
+        """Record that changes are too large for one answer; a listing follows."""
+        self._counters.add("changes_too_large")
+        self._log.write("changes_too_large", reason=reason)
+
     def record_source_reached(self, revision: Revision) -> None:
         """Record that the source answered, with the revision that it is at."""
         if not self._outage.is_current:
--- a/packages/pomelotrail-core/pomelotrail_core/http_service/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_service/const.py
@@ -22,3 +22,5 @@
 TEMPORARY_ACCEPT_ERRORS: Final = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 )
+# Probes and scrapes have some hundred bytes.
+MAX_REQUEST_BYTES: Final = 65_536
--- a/packages/pomelotrail-core/pomelotrail_core/http_service/tests/test_service.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_service/tests/test_service.py
@@ -11,10 +11,13 @@
 
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.http_service import HttpReply
+from pomelotrail_core.http_service.const import MAX_REQUEST_BYTES
 
 from .builders import LoggedService, hold_address
 
 _POLL_INTERVAL_S = 0.01
+# More than the buffers of a connection hold.
+_PARTS = 200
 _CONNECTION_MODULE = "pomelotrail_core.http_service.connection"
 
 
@@ -132,3 +135,21 @@
         await self.async_wait_listening()
         self.assertEqual(await self.async_get("ready"), 200)
         self.assertEqual(self.logged.events(), ["listen_failed", "listening"])
+
+    async def test_requests_without_an_end_close_the_connection(self) -> None:
+        """Guards against a client that fills the memory of a process."""
+        heads = (
+            b"GET /",
+            b"GET /ready HTTP/1.1\r\nName: ",
+            b"POST /ready HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+        )
+        for head in heads:
+            with self.subTest(head):
+                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                self.addCleanup(writer.close)
+                writer.write(head)
+                with self.assertRaises(ConnectionError):
+                    for _ in range(_PARTS):
+                        writer.write(b"a" * MAX_REQUEST_BYTES)
+                        await writer.drain()
+        await self.test_requests()
--- a/stand_ins/platform_fleet.py
+++ b/stand_ins/platform_fleet.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -180,6 +181,18 @@
         """Return whether the process was started and has not exited."""
         return self._process is not None and self._process.returncode is None
 
+    def limit_descriptors(self, number: int) -> None:
+        """Let the running process open no descriptor from a number on."""
+        _, most = resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE)
+        limits = (min(number, most), most)
+        resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limits)
+
+    @property
+    def peak_memory_bytes(self) -> int:
+        """Return the highest resident size that the running process has had."""
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        return int(status.partition("VmHWM:")[2].split()[0]) * 1024
+
     def lines(self) -> list[dict]:
         """Return the lines of the structured log."""
         text = self.log.read_text().splitlines()
@@ -189,18 +202,28 @@
 class PlatformFleet:
     """Balancers, companions, a store and backend servers on one machine."""
 
-    def __init__(self, directory: Path, balancers: int = 2, servers: int = 3) -> None:
-        """Describe the fleet."""
+    def __init__(
+        self,
+        directory: Path,
+        balancers: int = 2,
+        servers: int = 3,
+        prelude: str = "",
+    ) -> None:
+        """Describe the fleet; each process executes ``prelude`` first."""
         self.store = PlatformStore()
         self.network = LoopbackNetwork()
         self._addresses = ClaimedNetwork()
         prefix = self._addresses.prefix
         self.balancers = [
-            RoleProcess("balancer", f"entry-{i}", f"{prefix}.1.{i + 1}", directory)
+            RoleProcess(
+                "balancer", f"entry-{i}", f"{prefix}.1.{i + 1}", directory, prelude
+            )
             for i in range(balancers)
         ]
         self.companions = [
-            RoleProcess("companion", f"side-{i}", f"{prefix}.2.{i + 1}", directory)
+            RoleProcess(
+                "companion", f"side-{i}", f"{prefix}.2.{i + 1}", directory, prelude
+            )
             for i in range(servers)
         ]
         self.ports = free_ports(f"{prefix}.2.1")
