Tests: the test of a role's event loop restores the signal mask

A role that blocks signals at its end would block them in the test process too, and in every process that later tests start: those would not end on SIGTERM.

--- a/packages/pomelotrail-core/pomelotrail_core/tests/test_lean_process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/tests/test_lean_process.py
@@ -172,6 +172,9 @@
             await asyncio.sleep(0.01)
             done.append("done")
 
+        # A role may change the signal mask of its process, which tests inherit.
+        mask = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+        self.addCleanup(signal.pthread_sigmask, signal.SIG_SETMASK, mask)
         self.addCleanup(gc.unfreeze)
         run_role(async_main)
         self.assertEqual((done, errors), (["done"], ["event loop"]))
