--- a/deploy/libraries.py
+++ b/deploy/libraries.py
@@ -10,7 +10,7 @@
 from .const import REQUIREMENT_FILES
 from .errors import BuildError
 from .folders import Recipe, key_of
-from .pip_environment import NO_PREFIX, pip_environment
+from .pip_environment import pip_environment
 
 _QUIET: Final = {"stdout": subprocess.DEVNULL, "stderr": subprocess.DEVNULL}
 _NAME: Final = re.compile(r"^[\w.-]+", re.MULTILINE)
@@ -32,7 +32,7 @@
     @property
     def remedy(self) -> str:
         """Return what to do when libraries that were just installed don't load."""
-        return "check which packages pip's index has for this machine"
+        return "check pip's configuration, and its index for this machine"
 
     def fill(self, folder: Path, final: Path) -> None:
         """Install and compile the libraries."""
@@ -46,7 +46,7 @@
         requirements, constraints = REQUIREMENT_FILES
         command = [
             *(*pip, "install", "--quiet", "--disable-pip-version-check"),
-            *("--no-compile", "--target", str(folder), NO_PREFIX),
+            *("--no-compile", "--target", str(folder)),
             *("--constraint", constraints, "--requirement", requirements),
         ]
         if subprocess.run(command, env=environment, cwd=self._root).returncode:
--- a/deploy/pip_environment.py
+++ b/deploy/pip_environment.py
@@ -10,16 +10,14 @@
     *("PLATFORM", "PYTHON_VERSION", "IMPLEMENTATION", "ABI", "NO_DEPS", "EDITABLE"),
     *("REQUIREMENT", "SRC", "REPORT"),
 )
-# They override a configuration file, which an empty value would not.
+# They override a configuration file, which an empty value would not. Paths in such a
+# file stay: pip takes an empty prefix for the root of the file system.
 _NEUTRAL: Final = {
     "PIP_USER": "0",
     "PIP_REQUIRE_VIRTUALENV": "0",
     "PIP_DRY_RUN": "0",
     "PIP_NO_DEPS": "0",
-    "PIP_ROOT": "/",
 }
-# Excludes ``--target`` too, and can only be emptied here.
-NO_PREFIX: Final = "--prefix="
 
 
 def pip_environment() -> dict[str, str]:
