Programs: closed, full or unread standard streams don't end a process

Operators saw a balancer or companion end with code 0 and without a line when the reader of its standard output had gone before `ready NAME` was printed: the command line takes a broken pipe for the end of a reader such as `head`. On a full device it ended with a traceback. With standard output or error closed, its sockets got descriptors 1 and 2, and libuv aborted the process at its stop (exit code -6, `uv__close: Assertion fd > STDERR_FILENO`). A reader of the log that stood still would have stopped the whole process in a write.

Now closed streams are connected with the null device before anything else opens a descriptor, a refused ready line is logged, and lines of the log go through a stream that asks whether a write would block, and counts what it leaves out.

Before the fix test_reader_of_standard_output_is_gone and test_standard_output_is_full printed `b'' != b'served'`, and test_standard_streams_are_closed printed `-6 != 0` for each set of descriptors. LogStream is new: its tests have no earlier state to fail on.

--- a/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
@@ -6,6 +6,10 @@
 from collections.abc import Sequence
 
 from pomelotrail_core.peers import set_up_operator_security
+from pomelotrail_core.standard_streams import (
+    discard_standard_output,
+    replace_closed_streams,
+)
 
 from .command import Command
 from .const import EXIT_CODES_HELP, EXIT_OK, EXIT_USAGE, TLS_DIRECTORY_VARIABLE
@@ -18,6 +22,7 @@
     arguments: Sequence[str] | None = None,
 ) -> int:
     """Parse the arguments, run their command and return its exit code."""
+    replace_closed_streams()
     parsed = command_parser(program, description, commands).parse_args(arguments)
     directory = os.environ.get(TLS_DIRECTORY_VARIABLE, "")
     if problem := set_up_operator_security(directory):
@@ -28,7 +33,7 @@
         sys.stdout.flush()
     except BrokenPipeError:
         # The reader of the output, such as ``head``, closed the pipe: no failure.
-        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        discard_standard_output()
         return EXIT_OK
     return code
 
--- a/packages/pomelotrail-core/pomelotrail_core/logs.py
+++ b/packages/pomelotrail-core/pomelotrail_core/logs.py
@@ -12,6 +12,7 @@
 from absl import logging as absl_logging
 
 from pomelotrail_core.clock import Clock, SystemClock
+from pomelotrail_core.standard_streams import LogStream
 
 TEXT_LOGS: Final = "text"
 JSON_LOGS: Final = "json"
@@ -118,15 +119,17 @@
 def set_up_logs(level: str, form: str = TEXT_LOGS) -> None:
     """Write log lines of the given level and above to standard error.
 
-    ``form`` is ``text`` or ``json``.
+    ``form`` is ``text`` or ``json``. Lines that standard error does not accept at
+    once are lost and counted; a process neither waits for its log nor ends for it.
     """
     # Arguments are parsed with argparse; absl would warn about unparsed flags.
     flags.FLAGS.mark_as_parsed()
     absl_logging.use_absl_handler()
     absl_logging.set_verbosity(level)
-    absl_logging.set_stderrthreshold(level)
+    # absl would write the lines above this level a second time, and block.
+    absl_logging.set_stderrthreshold("fatal")
     handler = absl_logging.get_absl_handler().python_handler
-    handler.stream = sys.stderr
+    handler.stream = LogStream(sys.stderr.fileno(), _report_lost_lines)
     handler.addFilter(PartFilter())
     handler.addFilter(RepeatFilter(SystemClock()))
     if level != "debug":
@@ -135,6 +138,13 @@
         absl_logging.get_absl_handler().setFormatter(JsonFormatter())
 
 
+def _report_lost_lines(count: int) -> None:
+    """Log how many lines standard error did not accept."""
+    get_logger("logs").warning(
+        "%d lines were lost: standard error was full, closed or not read", count
+    )
+
+
 def _limit_library_logs() -> None:
     """Limit libraries to warnings; otherwise they log every connection."""
     for name in LIBRARY_LOGGERS:
--- a/packages/pomelotrail-core/pomelotrail_core/process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/process.py
@@ -6,6 +6,11 @@
 
 import uvloop
 
+from pomelotrail_core.logs import get_logger
+from pomelotrail_core.standard_streams import discard_standard_output
+
+_LOGGER = get_logger("process")
+
 StopEvent = asyncio.Event
 ProcessMain = Callable[[StopEvent], Awaitable[None]]
 
@@ -25,5 +30,16 @@
 
 
 def announce_ready(name: str) -> None:
-    """Print the line that tells the parent process that this one is ready."""
-    print(f"ready {name}", flush=True)
+    """Print the line that tells the parent process that this one is ready.
+
+    A process whose standard output is broken or full serves without the line.
+    """
+    try:
+        print(f"ready {name}", flush=True)
+    except OSError as error:
+        _LOGGER.warning(
+            "Ready, but standard output refused the line that says so (%s); check "
+            "what it is connected to",
+            error,
+        )
+        discard_standard_output()
