Programs: wait for held addresses, stop while starting, restart failed tasks

Operators saw a balancer or a companion end with a traceback and code 1 when a predecessor still held its control, packets or listen address for a moment. They saw it ignore SIGTERM while it waited for its first configuration, until it was killed. And tasks beside the main one (configuration spread and monitor, suspend detection, load exchange, health) that failed left a process that lived on without them: nobody looked at their result before the stop.

All three are in how balancer and companion assemble themselves, so they change together. Addresses are tried again for 30 s, with a line, then one line names setting, problem and remedy and the exit code is 1; the wait, and the one for the configuration, ends with SIGTERM. Background tasks are logged with their name when they fail and start again after 1 to 30 s. The companion's packet socket is opened after the edge is built, so that a second attempt builds nothing twice.

Before, on real processes: test_predecessor_holds_the_addresses_of_a_balancer and ..._of_a_companion ended with `ProcessStartError: ... did not start` and `OSError: [Errno 98] ... address already in use`; test_stop_of_a_program_that_waits_for_its_configuration printed `-9 != 0 : balancer-1`, since only SIGKILL ended it. The unit tests are of new parts.

--- /dev/null
+++ b/harness/tests/test_program_starts.py
@@ -0,0 +1,102 @@
+"""Starts of real balancers and companions while something they need is missing."""
+
+import asyncio
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+
+import attrs
+
+from harness.fleet import Fleet
+from harness.specification import KESAR_TIDEWATER
+from pomelotrail_core.endpoint import Endpoint
+
+_SERVICE = attrs.evolve(KESAR_TIDEWATER.services[0], endpoints=1)
+_SMALLEST_FLEET = attrs.evolve(KESAR_TIDEWATER, balancers=1, services=(_SERVICE,))
+
+
+def hold_address(endpoint: Endpoint) -> tuple[socket.socket, socket.socket]:
+    """Return sockets that hold an address for TCP and for UDP."""
+    stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    stream.bind(endpoint.socket_address)
+    stream.listen()
+    datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    datagrams.bind(endpoint.socket_address)
+    return stream, datagrams
+
+
+class ProgramStartsTest(unittest.IsolatedAsyncioTestCase):
+    """What comes back by itself is waited for, and a signal ends the wait."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the stand-ins of a small fleet."""
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name)
+        self.fleet = Fleet(_SMALLEST_FLEET, self.directory)
+        self.addAsyncCleanup(self.fleet.async_stop)
+        await self.fleet.async_start_platform()
+        self.balancer = self.fleet.balancers[0]
+        self.companion = self.fleet.companions[0]
+
+    async def async_wait_for_line(self, name: str, text: str) -> None:
+        """Wait until the log of a process has a text."""
+        log = self.directory / f"{name}.log"
+        while True:
+            if log.exists() and text in log.read_text():
+                return
+            await asyncio.sleep(0.05)
+
+    async def async_check_wait(self, name: str, field: str, held: Endpoint) -> None:
+        """Start a process while an address is held, and release it on its line."""
+        sockets = hold_address(held)
+        starting = asyncio.create_task(self.fleet.processes[name].async_start())
+        line = asyncio.create_task(
+            self.async_wait_for_line(name, f"{field}: address {held} can't be used")
+        )
+        try:
+            await asyncio.wait([starting, line], return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            line.cancel()
+            for each in sockets:
+                each.close()
+        await starting
+        self.assertEqual(await self.fleet.processes[name].async_stop(), 0)
+
+    async def test_predecessor_holds_the_addresses_of_a_balancer(self) -> None:
+        """Guards against a balancer that ends for an address held for a moment."""
+        await self.fleet.async_publish()
+        name, listen = self.balancer.name, self.balancer.listen[_SERVICE.name]
+        await self.async_check_wait(name, "control", self.balancer.control)
+        await self.async_check_wait(name, "packets", self.balancer.packets)
+        await self.async_check_wait(name, "listen", listen)
+
+    async def test_predecessor_holds_the_addresses_of_a_companion(self) -> None:
+        """Guards against a companion that ends for an address held for a moment."""
+        await self.fleet.async_publish()
+        name = self.companion.name
+        await self.async_check_wait(name, "control", self.companion.control)
+        await self.async_check_wait(name, "packets", self.companion.packets)
+
+    async def test_stop_of_a_program_that_waits_for_its_configuration(self) -> None:
+        """Guards against a process that must be killed while it waits."""
+        for planned in (self.balancer, self.companion):
+            process = self.fleet.processes[planned.name]
+            starting = asyncio.create_task(process.async_start())
+            while not await self.async_is_listening(planned.control):
+                self.assertFalse(starting.done())
+                await asyncio.sleep(0.05)
+            code = await process.async_stop()
+            await asyncio.wait([starting])
+            self.assertIsNotNone(starting.exception())
+            self.assertEqual(code, 0, planned.name)
+
+    async def async_is_listening(self, endpoint: Endpoint) -> bool:
+        """Return whether a process accepts connections at an address."""
+        try:
+            _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        except OSError:
+            return False
+        writer.close()
+        return True
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/balancer.py
@@ -1,10 +1,11 @@
 """Assembles the components of the balancer and runs it."""
 
 import asyncio
-import contextlib
+import functools
 
 import aiohttp
 
+from pomelotrail_core.background import BackgroundTasks
 from pomelotrail_core.clock import Clock, SystemClock
 from pomelotrail_core.configuration import ConfigurationCoordinator
 from pomelotrail_core.datagrams import DatagramSocket
@@ -20,6 +21,7 @@
 from pomelotrail_core.routing import Encapsulation, RendezvousRanking, TokenReader
 from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.spread import PeerCheck
+from pomelotrail_core.starting import async_open_address, async_run_unless_stopped
 from pomelotrail_core.suspend_detection import SuspendDetector
 from pomelotrail_core.timeline import EventKind, Recorder
 from pomelotrail_core.timeline.metrics import observe_process
@@ -72,7 +74,7 @@
             self._recorder,
             MemberRole.BALANCER,
         )
-        self._listen_tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(clock)
         self._control = ControlServer(
             process.control,
             [
@@ -90,30 +92,43 @@
 
     async def async_run(self, stop: asyncio.Event) -> None:
         """Run until ``stop`` is set."""
-        process = self._settings.process
         self._recorder.record(EventKind.PROCESS_STARTED)
         self._coordinator.add_listener(self._roster.configure)
         self._coordinator.add_listener(self._forwarder.configure)
         self._coordinator.add_listener(ZoneEvents(self._recorder).configure)
-        await self._control.async_start()
+        try:
+            async with aiohttp.ClientSession() as session:
+                try:
+                    await self._async_serve(session, stop)
+                finally:
+                    await self._tasks.async_stop()
+        finally:
+            await self._control.async_stop()
+            await self._metrics.async_stop()
+
+    async def _async_serve(
+        self, session: aiohttp.ClientSession, stop: asyncio.Event
+    ) -> None:
+        """Start and serve until ``stop`` is set."""
+        if await async_run_unless_stopped(self._async_start(session), stop):
+            announce_ready(self._settings.process.name)
+            await stop.wait()
+        self._recorder.record(EventKind.PROCESS_STOPPING)
+
+    async def _async_start(self, session: aiohttp.ClientSession) -> None:
+        """Start all parts; returns when packets are forwarded."""
+        process = self._settings.process
+        await async_open_address(
+            "control", process.control, self._control.async_start, self._clock
+        )
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
-        async with aiohttp.ClientSession() as session:
-            spread_task = self._spread.start(session)
-            await self._spread.async_wait_ready()
-            check = PeerCheck(self._spread.spreader, self._clock)
-            detector = SuspendDetector(self._clock, check, self._recorder)
-            tick_task = asyncio.create_task(detector.async_tick())
-            await self._async_listen(detector)
-            announce_ready(process.name)
-            await stop.wait()
-            self._recorder.record(EventKind.PROCESS_STOPPING)
-            tick_task.cancel()
-            spread_task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await spread_task
-        await self._control.async_stop()
-        await self._metrics.async_stop()
+        self._tasks.start("spread", lambda: self._spread.async_run(session))
+        await self._spread.async_wait_ready()
+        check = PeerCheck(self._spread.spreader, self._clock)
+        detector = SuspendDetector(self._clock, check, self._recorder)
+        self._tasks.start("waking", detector.async_tick)
+        await self._async_listen(detector)
 
     def _figures(self) -> dict[str, float]:
         """Return the figures for the status of the process."""
@@ -129,21 +144,35 @@
 
     async def _async_listen(self, detector: SuspendDetector) -> None:
         """Open the sockets for packets."""
-        companion_socket = DatagramSocket(
-            self._fleet_socket,
-            self._settings.process.packets.socket_address,
-            detector,
+        companion_socket = await self._async_open_socket(
+            "packets", self._settings.process.packets, self._fleet_socket, detector
         )
         in_force = await self._coordinator.async_wait_for_first()
         for listen in self._settings.listen:
             if in_force.service(listen.service) is not None:
                 await self._async_listen_for_service(listen, companion_socket, detector)
                 continue
-            task = asyncio.create_task(
-                self._async_listen_later(listen, companion_socket, detector)
+            self._tasks.start(
+                f"listen for {listen.service}",
+                functools.partial(
+                    self._async_listen_later, listen, companion_socket, detector
+                ),
             )
-            self._listen_tasks.add(task)
-            task.add_done_callback(self._listen_tasks.discard)
+
+    async def _async_open_socket(
+        self,
+        field: str,
+        endpoint: Endpoint,
+        protocol: asyncio.DatagramProtocol,
+        detector: SuspendDetector,
+    ) -> DatagramSocket:
+        """Open the socket of a setting once its address is free."""
+
+        async def async_open() -> DatagramSocket:
+            """Try to open the socket."""
+            return DatagramSocket(protocol, endpoint.socket_address, detector)
+
+        return await async_open_address(field, endpoint, async_open, self._clock)
 
     async def _async_listen_for_service(
         self,
@@ -166,8 +195,8 @@
             self._forwarded,
             self._dropped,
         )
+        await self._async_open_socket("listen", listen.address, socket, detector)
         self._coordinator.add_listener(socket.configure)
-        DatagramSocket(socket, listen.address.socket_address, detector)
         self._fleet_socket.add_service(service.number, socket)
 
     async def _async_listen_later(
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/run_balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/run_balancer.py
@@ -8,7 +8,7 @@
 
 from pomelotrail_balancer.balancer import async_run_balancer
 from pomelotrail_balancer.settings import read_balancer_settings
-from pomelotrail_core.command_line import EXIT_OK, EXIT_USAGE, Command
+from pomelotrail_core.command_line import EXIT_USAGE, Command
 from pomelotrail_core.logs import set_up_logs
 from pomelotrail_core.peers import set_up_security
 from pomelotrail_core.process import run_process
@@ -36,5 +36,4 @@
                 if problem := set_up_security(settings.process.tls):
                     print(problem, file=sys.stderr)
                     return EXIT_USAGE
-                run_process(lambda stop: async_run_balancer(settings, stop))
-                return EXIT_OK
+                return run_process(lambda stop: async_run_balancer(settings, stop))
--- a/packages/pomelotrail-companion/pomelotrail_companion/commands/run.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/commands/run.py
@@ -8,7 +8,7 @@
 
 from pomelotrail_companion.companion import async_run_companion
 from pomelotrail_companion.settings import read_companion_settings
-from pomelotrail_core.command_line import EXIT_OK, EXIT_USAGE, Command
+from pomelotrail_core.command_line import EXIT_USAGE, Command
 from pomelotrail_core.logs import set_up_logs
 from pomelotrail_core.peers import set_up_security
 from pomelotrail_core.process import run_process
@@ -37,5 +37,4 @@
                 if problem := set_up_security(process.tls):
                     print(problem, file=sys.stderr)
                     return EXIT_USAGE
-                run_process(lambda stop: async_run_companion(settings, stop))
-                return EXIT_OK
+                return run_process(lambda stop: async_run_companion(settings, stop))
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -1,12 +1,12 @@
 """Assembly and main loop of the companion."""
 
 import asyncio
-import contextlib
 import random
 import secrets
 
 import aiohttp
 
+from pomelotrail_core.background import BackgroundTasks
 from pomelotrail_core.clock import Clock, SystemClock
 from pomelotrail_core.configuration import (
     BackendServer,
@@ -14,6 +14,7 @@
     ConfigurationCoordinator,
     Service,
 )
+from pomelotrail_core.datagrams import DatagramSocket
 from pomelotrail_core.endpoint import Endpoint
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.membership import Roster
@@ -26,6 +27,7 @@
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
 from pomelotrail_core.spread import PeerCheck
+from pomelotrail_core.starting import async_open_address, async_run_unless_stopped
 from pomelotrail_core.suspend_detection import SuspendDetector
 from pomelotrail_core.tickets import Executor, TicketIssuer, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
@@ -48,7 +50,7 @@
 from .draining.orders import call_when_back_in_service
 from .draining.shutdown import GracefulShutdown
 from .draining.state import ServingState
-from .edge.assembly import EdgeContext, OpenedEdge, open_edge
+from .edge.assembly import Edge, EdgeContext, build_edge
 from .ledger import GrpcPeers, RelayService, RunOnceComponents, ServicePeers
 from .requests import Dispatcher, RequestHandler
 from .requests.accounting import RequestAccounting
@@ -79,7 +81,8 @@
             lambda: self._coordinator.version,
         )
         self._roster = Roster()
-        self._edge: OpenedEdge | None = None
+        self._tasks = BackgroundTasks(clock)
+        self._edge: Edge | None = None
         self._scheduler: Scheduler | None = None
         observe_gauge(
             self._metrics.meter("edge"),
@@ -120,47 +123,64 @@
 
     async def async_run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set."""
-        process = self._settings.process
         self._recorder.record(EventKind.PROCESS_STARTED)
         self._coordinator.add_listener(self._draining.configure)
         self._coordinator.add_listener(self._roster.configure)
         self._coordinator.add_listener(self._exchange.configure)
-        await self._control.async_start()
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                open_backend_session(is_reusing_connections=True) as reused_session,
+                open_backend_session(is_reusing_connections=False) as single_use,
+            ):
+                backend = BackendClient(
+                    self._settings.backend_server,
+                    reused_session,
+                    self._clock,
+                    single_use,
+                )
+                try:
+                    await self._async_serve(session, backend, stop)
+                finally:
+                    await self._tasks.async_stop()
+        finally:
+            self._peers.close()
+            await self._control.async_stop()
+            await self._metrics.async_stop()
+
+    async def _async_serve(
+        self,
+        session: aiohttp.ClientSession,
+        backend: BackendClient,
+        stop: asyncio.Event,
+    ) -> None:
+        """Start, serve until ``stop`` is set, and drain."""
+        start = self._async_start(session, backend)
+        if await async_run_unless_stopped(start, stop):
+            announce_ready(self._settings.process.name)
+            await stop.wait()
+        await self._async_drain()
+
+    async def _async_start(
+        self, session: aiohttp.ClientSession, backend: BackendClient
+    ) -> None:
+        """Start all parts; returns when callers are served."""
+        process = self._settings.process
+        await async_open_address(
+            "control", process.control, self._control.async_start, self._clock
+        )
         if process.metrics is not None:
             await self._metrics.async_start(process.metrics)
-        async with (
-            aiohttp.ClientSession() as session,
-            open_backend_session(is_reusing_connections=True) as reused_session,
-            open_backend_session(is_reusing_connections=False) as single_use_session,
-        ):
-            spread_task = self._spread.start(session)
-            await self._spread.async_wait_ready()
-            configuration = await self._async_wait_listed()
-            backend = BackendClient(
-                self._settings.backend_server,
-                reused_session,
-                self._clock,
-                single_use_session,
-            )
-            handler = self._build_handler(configuration, backend)
-            check = PeerCheck(self._spread.spreader, self._clock)
-            detector = SuspendDetector(self._clock, check, self._recorder)
-            detector_task = asyncio.create_task(detector.async_tick())
-            exchange_task = asyncio.create_task(self._exchange.async_run())
-            health_task = asyncio.create_task(self._async_watch_health(session))
-            self._open_edge(configuration, handler, detector)
-            announce_ready(process.name)
-            await stop.wait()
-            await self._async_drain()
-            detector_task.cancel()
-            exchange_task.cancel()
-            health_task.cancel()
-            spread_task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await spread_task
-        self._peers.close()
-        await self._control.async_stop()
-        await self._metrics.async_stop()
+        self._tasks.start("spread", lambda: self._spread.async_run(session))
+        await self._spread.async_wait_ready()
+        configuration = await self._async_wait_listed()
+        handler = self._build_handler(configuration, backend)
+        check = PeerCheck(self._spread.spreader, self._clock)
+        detector = SuspendDetector(self._clock, check, self._recorder)
+        self._tasks.start("waking", detector.async_tick)
+        self._tasks.start("load exchange", self._exchange.async_run)
+        self._tasks.start("health", lambda: self._async_watch_health(session))
+        await self._async_open_edge(configuration, handler, detector)
 
     async def _async_wait_listed(self) -> Configuration:
         """Wait until the configuration lists the backend server on this VM."""
@@ -177,7 +197,7 @@
             lambda current: _is_listed(current, service, name)
         )
 
-    def _open_edge(
+    async def _async_open_edge(
         self,
         configuration: Configuration,
         handler: RequestHandler,
@@ -199,7 +219,7 @@
         token = RoutingToken(
             zone.number, process.packets, service.number, self._incarnation & 0xFFFF
         )
-        self._edge = open_edge(
+        edge = build_edge(
             EdgeContext(
                 process=process,
                 token=token,
@@ -208,7 +228,6 @@
                 handler=handler,
                 admission=admission,
                 draining=self._draining,
-                read_pause=detector,
                 roster=self._roster,
                 own_version=lambda: self._coordinator.version,
                 versions=VersionWatch(
@@ -220,6 +239,13 @@
             )
         )
 
+        async def async_open() -> None:
+            """Try to open the packet socket."""
+            DatagramSocket(edge.packets, process.packets.socket_address, detector)
+
+        await async_open_address("packets", process.packets, async_open, self._clock)
+        self._edge = edge
+
     async def _async_watch_health(self, session: aiohttp.ClientSession) -> None:
         """Watch the backend server's health check for cold starts, if configured."""
         path, scheduler = self._settings.health_path, self._scheduler
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
@@ -7,7 +7,6 @@
 from pomelotrail_companion.draining.orders import apply_state_to_edge
 from pomelotrail_companion.requests import RequestHandler
 from pomelotrail_core.clock import Clock
-from pomelotrail_core.datagrams import DatagramSocket, ReadPause
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.routing import (
     Encapsulation,
@@ -42,7 +41,6 @@
     handler: RequestHandler
     admission: FlowAdmission
     draining: DrainingState
-    read_pause: ReadPause
     roster: Roster
     own_version: VersionGetter
     versions: VersionWatch
@@ -52,8 +50,8 @@
 
 
 @attrs.frozen
-class OpenedEdge:
-    """The edge of a companion with its packet socket."""
+class Edge:
+    """The edge of a companion with the protocol of its packet socket."""
 
     flows: QuicEdge
     packets: PacketSocket
@@ -68,8 +66,8 @@
         }
 
 
-def open_edge(context: EdgeContext) -> OpenedEdge:
-    """Open the packet socket of a companion and return its edge."""
+def build_edge(context: EdgeContext) -> Edge:
+    """Return the edge of a companion; its packet socket is to be opened."""
     process = context.process
     events = EventThrottle(context.recorder, context.clock)
     drops = DropCounter(context.meter, events)
@@ -103,5 +101,4 @@
     )
     packet_socket.attach(router)
     apply_state_to_edge(context.draining, edge)
-    DatagramSocket(packet_socket, process.packets.socket_address, context.read_pause)
-    return OpenedEdge(edge, packet_socket)
+    return Edge(edge, packet_socket)
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/background/__init__.py
@@ -0,0 +1,5 @@
+"""Tasks that run beside the main one for the life of a process."""
+
+from .tasks import BackgroundTasks
+
+__all__ = ["BackgroundTasks"]
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/background/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of background tasks."""
--- a/packages/pomelotrail-core/pomelotrail_core/process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/process.py
@@ -6,8 +6,10 @@
 
 import uvloop
 
+from pomelotrail_core.command_line.const import EXIT_FAILED, EXIT_OK
 from pomelotrail_core.logs import get_logger
 from pomelotrail_core.standard_streams import discard_standard_output
+from pomelotrail_core.starting import StartError
 
 _LOGGER = get_logger("process")
 
@@ -15,9 +17,17 @@
 ProcessMain = Callable[[StopEvent], Awaitable[None]]
 
 
-def run_process(main: ProcessMain) -> None:
-    """Run ``main`` on uvloop; SIGTERM and SIGINT set its event."""
-    uvloop.run(_async_run(main))
+def run_process(main: ProcessMain) -> int:
+    """Run ``main`` on uvloop and return the exit code.
+
+    SIGTERM and SIGINT set its event. A start that fails leaves one line in the log.
+    """
+    try:
+        uvloop.run(_async_run(main))
+    except StartError as error:
+        _LOGGER.error("The start failed: %s", error)
+        return EXIT_FAILED
+    return EXIT_OK
 
 
 async def _async_run(main: ProcessMain) -> None:
--- a/packages/pomelotrail-core/pomelotrail_core/process_spread.py
+++ b/packages/pomelotrail-core/pomelotrail_core/process_spread.py
@@ -76,6 +76,7 @@
         self._heartbeats: Heartbeats | None = None
         if role is MemberRole.COMPANION:
             self._heartbeats = Heartbeats(settings.name, clock)
+            coordinator.add_listener(self._heartbeats.configure)
             return
         self._monitor = Monitor(
             settings.name,
@@ -86,6 +87,7 @@
             recorder,
             rng,
         )
+        coordinator.add_listener(self._monitor.configure)
         self._handlers.append(self._monitor)
 
     @property
@@ -98,24 +100,20 @@
         """Return the spreader, which receives and forwards configurations."""
         return self._spreader
 
-    def start(self, session: aiohttp.ClientSession) -> asyncio.Task[None]:
-        """Start all parts; cancel the returned task to stop them."""
+    async def async_run(self, session: aiohttp.ClientSession) -> None:
+        """Run all parts until cancelled; may run again after a failure."""
         self._source.set_session(session)
-        return asyncio.create_task(self._async_run())
-
-    async def _async_run(self) -> None:
-        """Run all parts until cancelled."""
+        heartbeats, current = self._heartbeats, self._coordinator.current
+        if heartbeats is not None and current is not None:
+            heartbeats.configure(current)
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._spreader.async_run())
-                if self._heartbeats is not None:
-                    self._coordinator.add_listener(self._heartbeats.configure)
                 if self._monitor is not None:
-                    self._coordinator.add_listener(self._monitor.configure)
                     group.create_task(self._monitor.async_run())
         finally:
-            if self._heartbeats is not None:
-                self._heartbeats.stop()
+            if heartbeats is not None:
+                heartbeats.stop()
 
     async def async_wait_ready(self) -> Configuration:
         """Wait for a configuration, and for one comparison of versions with peers."""
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/starting/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the start of a process."""
