Configuration: an unusable document no longer ends the spread

Operators would have seen processes that serve but adopt no version any more, without a line in any log: a document with an impossible date or number (`2020-13-45`, `!!int one`, 5,000 digits, a duration of 20 digits) made the YAML library raise errors other than its own, which ended the task group of the spread. A version or count beyond what messages carry was adopted, and lower versions never displace it. The text of an error expanded aliases without limit.

Such values are refused like other wrong ones, numbers are bounded by their fields, values in errors are shortened, and a listener that fails is logged while the others get the version.

--- a/harness/tests/test_program_starts.py
+++ b/harness/tests/test_program_starts.py
@@ -1,17 +1,25 @@
 """Starts of real balancers and companions while something they need is missing."""
 
 import asyncio
+import datetime
 import socket
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Final
 
+import aiohttp
 import attrs
+import yaml
 
 from harness.fleet import Fleet
 from harness.specification import KESAR_TIDEWATER
+from pomelotrail_core.configuration.const import VERSION_HEADER
 from pomelotrail_core.endpoint import Endpoint
 
+# Much longer than it takes, for busy machines.
+_ADOPTION_LIMIT: Final = datetime.timedelta(seconds=90)
+
 _SERVICE = attrs.evolve(KESAR_TIDEWATER.services[0], endpoints=1)
 _SMALLEST_FLEET = attrs.evolve(KESAR_TIDEWATER, balancers=1, services=(_SERVICE,))
 
@@ -79,6 +87,31 @@
         await self.async_check_wait(name, "control", self.companion.control)
         await self.async_check_wait(name, "packets", self.companion.packets)
 
+    async def test_unusable_document(self) -> None:
+        """Guards against processes that adopt nothing after an unusable document."""
+        await self.fleet.async_publish()
+        names = self.fleet.program_names
+        await self.fleet.async_start_programs(names)
+        self.fleet.document["note"] = datetime.date(2026, 1, 31)
+        text = yaml.safe_dump(self.fleet.document).replace("2026-01-31", "2026-13-31")
+        del self.fleet.document["note"]
+        self.fleet.document["version"] += 1
+        await self.async_publish_text(text, self.fleet.document["version"])
+        async with asyncio.timeout(_ADOPTION_LIMIT.total_seconds()):
+            for name in names:
+                await self.async_wait_for_line(name, "month must be in 1..12")
+            await self.fleet.async_publish()
+            version = self.fleet.document["version"]
+            for name in names:
+                await self.async_wait_for_line(name, f"Version {version} is in force")
+
+    async def async_publish_text(self, text: str, version: int) -> None:
+        """Publish a text as a version, without checking it."""
+        url = f"http://{self.fleet.configuration_service}/admin/document"
+        headers = {VERSION_HEADER: str(version)}
+        async with aiohttp.ClientSession() as session:
+            await session.put(url, data=text, headers=headers, raise_for_status=True)
+
     async def test_stop_of_a_program_that_waits_for_its_configuration(self) -> None:
         """Guards against a process that must be killed while it waits."""
         for planned in (self.balancer, self.companion):
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/const.py
@@ -6,6 +6,9 @@
 MAX_DOCUMENT_BYTES: Final = 1_000_000
 MAX_STREAM_BYTES: Final = 16_000_000
 DIGEST_BYTES: Final = 16
+# Packets and calls carry versions and counts in fields of 64 and 32 bits.
+MAX_VERSION: Final = 2**63 - 1
+MAX_COUNT: Final = 2**31 - 1
 MAX_ZONE_NUMBER: Final = 255
 MAX_SERVICE_NUMBER: Final = 65_535
 LONG_POLL_TIMEOUT: Final = timedelta(seconds=10)
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/coordinator.py
@@ -118,6 +118,17 @@
         )
         _LOGGER.info("Version %d is in force", configuration.version)
         for listener in self._listeners:
-            listener(configuration)
+            self._notify(listener, configuration)
         self._first_adopted.set()
         return True
+
+    def _notify(self, listener: Listener, configuration: Configuration) -> None:
+        """Call a listener; the others get the configuration even if it fails."""
+        try:
+            listener(configuration)
+        except Exception:
+            _LOGGER.exception(
+                "A part of this process failed on version %d and keeps what it had; "
+                "report this",
+                configuration.version,
+            )
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/parser.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/parser.py
@@ -34,9 +34,11 @@
 from .const import (
     DEFAULT_BODY_LIMIT_BYTES,
     DEFAULT_DEADLINE,
+    MAX_COUNT,
     MAX_DOCUMENT_BYTES,
     MAX_SERVICE_NUMBER,
     MAX_STREAM_BYTES,
+    MAX_VERSION,
     MAX_ZONE_NUMBER,
 )
 from .document import (
@@ -52,6 +54,7 @@
 
 _NAME: Final = vol.All(str, vol.Match(r"^[a-z0-9][a-z0-9.-]{0,62}$"))
 _POSITIVE: Final = vol.All(int, vol.Range(min=1))
+_COUNT: Final = vol.All(int, vol.Range(min=1, max=MAX_COUNT))
 
 _ZONE: Final = {
     vol.Required("name"): _NAME,
@@ -83,8 +86,8 @@
 }
 _BACKEND_SERVER: Final = {
     **_BALANCER,
-    vol.Required("slots"): _POSITIVE,
-    vol.Required("connections"): _POSITIVE,
+    vol.Required("slots"): _COUNT,
+    vol.Required("connections"): _COUNT,
     vol.Optional("out", default=False): bool,
 }
 _SERVICE: Final = {
@@ -99,7 +102,7 @@
     vol.Optional("balancers", default=[]): [_BALANCER],
 }
 _ROOT_KEYS: Final = {
-    vol.Required("version"): _POSITIVE,
+    vol.Required("version"): vol.All(int, vol.Range(min=1, max=MAX_VERSION)),
     vol.Required("zones"): vol.All([_ZONE], vol.Length(min=1)),
 }
 _SINGLE_DOCUMENT_SCHEMA: Final = vol.Schema(
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/tests/test_coordinator.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/tests/test_coordinator.py
@@ -6,8 +6,9 @@
 from hypothesis import strategies as st
 
 from harness.builders import document
+from harness.captured_logs import captured_logs
 from harness.fake_clock import FakeClock
-from pomelotrail_core.configuration import ConfigurationCoordinator
+from pomelotrail_core.configuration import Configuration, ConfigurationCoordinator
 from pomelotrail_core.configuration.source import Document
 from pomelotrail_core.timeline import Recorder
 
@@ -44,3 +45,19 @@
         coordinator.adopt_if_newer(Document(5, document(5)), "test")
         self.assertFalse(coordinator.adopt_if_newer(Document(6, document(4)), "test"))
         self.assertEqual(coordinator.version, 5)
+
+    def test_failing_listener(self) -> None:
+        """Guards against parts without a version because another part failed on it."""
+        coordinator = _coordinator()
+        seen: list[int] = []
+
+        def fail(_: Configuration) -> None:
+            """Fail as a part with an error does."""
+            raise ValueError("a part failed")
+
+        coordinator.add_listener(fail)
+        coordinator.add_listener(lambda current: seen.append(current.version))
+        with captured_logs(self) as lines:
+            coordinator.adopt_if_newer(Document(3, document(3)), "test")
+        self.assertEqual(seen, [3])
+        self.assertIn("a part failed", lines[0])
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/tests/test_parser.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/tests/test_parser.py
@@ -1,5 +1,6 @@
 """Tests of parsing and validating configuration documents."""
 
+import re
 import unittest
 
 import yaml
@@ -42,6 +43,14 @@
         self.assertIn("weight", str(error))
         self.assertIn("is not known", str(error))
 
+    def test_numbers_that_messages_can_not_carry(self) -> None:
+        """Guards against a version in force that no packet can carry."""
+        for key in ("version", "slots", "connections"):
+            text = re.sub(rf"\b{key}: \d+", f"{key}: {10**30}", document())
+            error = parse_configuration(text).unwrap_err()
+            self.assertIn(key, str(error))
+            self.assertIn("at most", str(error))
+
     def test_too_large(self) -> None:
         """A document above the size limit of the service is refused."""
         error = parse_configuration("#" * 1_000_001).unwrap_err()
--- a/packages/pomelotrail-core/pomelotrail_core/settings/loader.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/loader.py
@@ -2,14 +2,24 @@
 
 import difflib
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 import voluptuous as vol
 import yaml
 from result import Err, Ok, Result
 
 from .errors import SettingsError
-from .validators import SecretInvalid
+from .validators import SecretInvalid, short_repr
+
+# What the YAML library raises, besides its own errors, for a value that does not have
+# the form of its type, such as the date 2020-13-45 or the number !!int one.
+_CONSTRUCTOR_ERRORS: Final = (
+    ValueError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 def load_settings(path: Path, schema: vol.Schema) -> Result[Any, SettingsError]:
@@ -28,7 +38,7 @@
     """Validate a YAML text; the error has the key, the value and the remedy."""
     try:
         document = yaml.load(text, Loader=yaml.CSafeLoader)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, *_CONSTRUCTOR_ERRORS) as error:
         return Err(SettingsError(source, "", f"is not YAML: {error}"))
     try:
         return Ok(schema(document))
@@ -48,8 +58,9 @@
         return SettingsError(source, key, "is missing; add it")
     problem = error.error_message
     is_secret = isinstance(error, SecretInvalid)
-    if value is not None and repr(value) not in problem and not is_secret:
-        problem = f"{problem}, not {value!r}"
+    text = short_repr(value)
+    if value is not None and text not in problem and not is_secret:
+        problem = f"{problem}, not {text}"
     return SettingsError(source, key, problem)
 
 
--- a/packages/pomelotrail-core/pomelotrail_core/settings/tests/test_loader.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/tests/test_loader.py
@@ -51,6 +51,37 @@
         """The error for invalid YAML has the line."""
         self.assertIn("line 1", self.error("a: [1"))
 
+    def test_value_without_the_form_of_its_type(self) -> None:
+        """Guards against readers that end for a date or number that is impossible."""
+        for value in (
+            "2020-13-45",
+            "!!int one",
+            "!!bool one",
+            "!!timestamp one",
+            "9" * 5_000,
+        ):
+            self.assertIn("is not YAML", self.error(f"packets: {value}"))
+
+    def test_duration_out_of_range(self) -> None:
+        """Guards against readers that end for a duration that is too long."""
+        for digits in (20, 400):
+            message = self.error(
+                f"{{packets: '192.0.2.1:1', timeout: {'9' * digits} h}}"
+            )
+            self.assertIn("is too long", message)
+
+    def test_error_does_not_expand_aliases(self) -> None:
+        """Guards against an error whose text doesn't fit into memory."""
+        levels = ["l0: &l0 [" + "x, " * 9 + "]"]
+        levels += [
+            f"l{level}: &l{level} [{f'*l{level - 1}, ' * 9}]" for level in range(1, 6)
+        ]
+        text = "\n".join([*levels, "packets: *l5"])
+        for check in (int, duration, endpoint):
+            schema = vol.Schema({vol.Required("packets"): check}, extra=vol.ALLOW_EXTRA)
+            error = parse_document(text, schema, "a.yaml").unwrap_err()
+            self.assertLess(len(str(error)), 10_000)
+
     def test_unreadable_file(self) -> None:
         """The error for a missing file names it."""
         error = load_settings(Path("/does/not/exist.yaml"), _SCHEMA).unwrap_err()
--- a/packages/pomelotrail-core/pomelotrail_core/settings/validators.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/validators.py
@@ -1,6 +1,7 @@
 """Validators of single values, shared by settings and configuration."""
 
 import re
+import reprlib
 from datetime import timedelta
 from typing import Any, Final
 
@@ -18,23 +19,45 @@
 }
 
 
+_MAX_VALUE_CHARACTERS: Final = 200
+_MAX_VALUE_LEVELS: Final = 2
+_SHORT: Final = reprlib.Repr()
+_SHORT.maxstring = _SHORT.maxother = _SHORT.maxlong = _MAX_VALUE_CHARACTERS
+_SHORT.maxlevel = _MAX_VALUE_LEVELS
+
+
+def short_repr(value: Any) -> str:
+    """Return a value for an error message.
+
+    With aliases, a small document can hold a value whose whole text doesn't fit into
+    memory.
+    """
+    return _SHORT.repr(value)
+
+
 class SecretInvalid(vol.Invalid):
     """An invalid secret; messages must not repeat its value."""
 
 
 def duration(value: Any) -> timedelta:
     """Parse a duration such as ``250 ms``, ``3 s``, ``5 min`` or ``2 h``."""
-    match = _DURATION.match(str(value))
+    match = _DURATION.match(value) if isinstance(value, str) else None
     if match is None:
         raise vol.Invalid(
-            f"{value!r} is not a duration; write a number and ms, s, min or h, as 3 s"
+            f"{short_repr(value)} is not a duration; "
+            "write a number and ms, s, min or h, as 3 s"
         )
-    return float(match[1]) * _UNITS[match[2]]
+    try:
+        return float(match[1]) * _UNITS[match[2]]
+    except OverflowError as error:
+        raise vol.Invalid(
+            f"{short_repr(value)} is too long; write a shorter duration"
+        ) from error
 
 
 def endpoint(value: Any) -> Endpoint:
     """Parse an endpoint such as ``192.0.2.7:4433``."""
-    match Endpoint.parse(value):
+    match Endpoint.parse(value if isinstance(value, str) else short_repr(value)):
         case Ok(parsed):
             return parsed
         case Err(error):
