Programs: wait for settings and certificates that are being replaced

Operators saw a start end with code 2 when the settings or a TLS file was absent or half written for a moment, and with a traceback and code 1 when that was the companion's own certificate. A certificate and a key of different pairs were accepted, and callers would have been turned away.

Files that can't be read are waited for, 10 s at most. Wrong ones are read again until they have not changed for 5 s: a file that is being written changes. The line with the problem comes at once. Certificate and key of a companion must fit together. The certificates of the operators' commands are no longer read by the commands that run a program, whose settings name theirs.

The pair of different files was not tried on the code before, since the test ended at the absent file.

--- a/harness/tests/test_program_starts.py
+++ b/harness/tests/test_program_starts.py
@@ -5,6 +5,7 @@
 import socket
 import tempfile
 import unittest
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Final
 
@@ -12,6 +13,7 @@
 import attrs
 import yaml
 
+from harness.certificates import write_certificate
 from harness.fleet import Fleet
 from harness.specification import KESAR_TIDEWATER
 from pomelotrail_core.configuration.const import VERSION_HEADER
@@ -87,6 +89,46 @@
         await self.async_check_wait(name, "control", self.companion.control)
         await self.async_check_wait(name, "packets", self.companion.packets)
 
+    async def async_check_files(
+        self, name: str, paths: Sequence[Path], broken: bytes | None
+    ) -> None:
+        """Start a process while a file is broken or absent, and restore it."""
+        for path in paths:
+            content = path.read_bytes()
+            path.unlink()
+            if broken is not None:
+                path.write_bytes(broken)
+            starting = asyncio.create_task(self.fleet.processes[name].async_start())
+            line = asyncio.create_task(
+                self.async_wait_for_line(name, "Waiting for a usable file")
+            )
+            await asyncio.wait([starting, line], return_when=asyncio.FIRST_COMPLETED)
+            line.cancel()
+            path.write_bytes(content)
+            await starting
+            self.assertEqual(await self.fleet.processes[name].async_stop(), 0)
+            (self.directory / f"{name}.log").unlink()
+
+    async def test_files_that_are_being_replaced(self) -> None:
+        """Guards against an end for files that are absent or half written."""
+        await self.fleet.async_publish()
+        for name in self.fleet.program_names:
+            settings = self.directory / f"{name}.yaml"
+            key = Path(yaml.safe_load(settings.read_text())["tls"]["private_key"])
+            await self.async_check_files(name, [settings, key], None)
+            await self.async_check_files(name, [settings, key], b"name: 'half")
+
+    async def test_certificate_that_is_being_replaced(self) -> None:
+        """Guards against an end for the certificate that callers see."""
+        await self.fleet.async_publish()
+        name = self.companion.name
+        settings = yaml.safe_load((self.directory / f"{name}.yaml").read_text())
+        files = [Path(settings["certificate"]), Path(settings["private_key"])]
+        other = write_certificate(self.directory / "tls")
+        await self.async_check_files(name, files, None)
+        await self.async_check_files(name, files, b"-----BEGIN CERT")
+        await self.async_check_files(name, files[:1], other[0].read_bytes())
+
     async def test_unusable_document(self) -> None:
         """Guards against processes that adopt nothing after an unusable document."""
         await self.fleet.async_publish()
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/run_balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/run_balancer.py
@@ -1,17 +1,12 @@
 """``pomelotrail balancer``: runs a balancer."""
 
 import argparse
-import sys
 from pathlib import Path
 
-from result import Err, Ok
-
 from pomelotrail_balancer.balancer import async_run_balancer
 from pomelotrail_balancer.settings import read_balancer_settings
-from pomelotrail_core.command_line import EXIT_USAGE, Command
-from pomelotrail_core.logs import set_up_logs
-from pomelotrail_core.peers import set_up_security
-from pomelotrail_core.process import run_process
+from pomelotrail_core.command_line import Command
+from pomelotrail_core.starting.program import run_program
 
 
 class BalancerCommand(Command):
@@ -21,19 +16,17 @@
     summary = "run a balancer until SIGTERM"
     examples = "pomelotrail balancer balancer-1.yaml"
 
+    @property
+    def uses_operator_security(self) -> bool:
+        """Return False, because the settings name the certificates."""
+        return False
+
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the arguments."""
         parser.add_argument("settings", type=Path, help="settings file (YAML)")
 
     def run(self, arguments: argparse.Namespace) -> int:
         """Run a balancer with the settings in a file."""
-        match read_balancer_settings(arguments.settings):
-            case Err(error):
-                print(error, file=sys.stderr)
-                return EXIT_USAGE
-            case Ok(settings):
-                set_up_logs(settings.process.log_level, settings.process.log_format)
-                if problem := set_up_security(settings.process.tls):
-                    print(problem, file=sys.stderr)
-                    return EXIT_USAGE
-                return run_process(lambda stop: async_run_balancer(settings, stop))
+        return run_program(
+            arguments.settings, read_balancer_settings, async_run_balancer
+        )
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -5,6 +5,8 @@
 import secrets
 
 import aiohttp
+from aioquic.quic.configuration import QuicConfiguration
+from result import Err, Ok, Result
 
 from pomelotrail_core.background import BackgroundTasks
 from pomelotrail_core.clock import Clock, SystemClock
@@ -26,8 +28,14 @@
 from pomelotrail_core.process_spread import ProcessSpread
 from pomelotrail_core.routing import RoutingToken
 from pomelotrail_core.routing.version_watch import VersionWatch
+from pomelotrail_core.settings import SettingsError
 from pomelotrail_core.spread import PeerCheck
-from pomelotrail_core.starting import async_open_address, async_run_unless_stopped
+from pomelotrail_core.starting import (
+    StartError,
+    async_load_files,
+    async_open_address,
+    async_run_unless_stopped,
+)
 from pomelotrail_core.suspend_detection import SuspendDetector
 from pomelotrail_core.tickets import Executor, TicketIssuer, TicketSealer
 from pomelotrail_core.timeline import EventKind, Recorder
@@ -51,6 +59,7 @@
 from .draining.shutdown import GracefulShutdown
 from .draining.state import ServingState
 from .edge.assembly import Edge, EdgeContext, build_edge
+from .edge.certificate import load_certificate
 from .ledger import GrpcPeers, RelayService, RunOnceComponents, ServicePeers
 from .requests import Dispatcher, RequestHandler
 from .requests.accounting import RequestAccounting
@@ -223,8 +232,7 @@
             EdgeContext(
                 process=process,
                 token=token,
-                certificate=str(self._settings.certificate),
-                private_key=str(self._settings.private_key),
+                quic=await self._async_load_certificate(),
                 handler=handler,
                 admission=admission,
                 draining=self._draining,
@@ -246,6 +254,20 @@
         await async_open_address("packets", process.packets, async_open, self._clock)
         self._edge = edge
 
+    async def _async_load_certificate(self) -> QuicConfiguration:
+        """Return the QUIC settings once the certificate's files are usable."""
+        files = (self._settings.certificate, self._settings.private_key)
+
+        async def async_load() -> Result[QuicConfiguration, SettingsError]:
+            """Try to load the files."""
+            return load_certificate(*files)
+
+        match await async_load_files(files, async_load, self._clock):
+            case Ok(loaded):
+                return loaded
+            case Err(error):
+                raise StartError("certificate", str(error), "replace the files")
+
     async def _async_watch_health(self, session: aiohttp.ClientSession) -> None:
         """Watch the backend server's health check for cold starts, if configured."""
         path, scheduler = self._settings.health_path, self._scheduler
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
@@ -1,6 +1,7 @@
 """Assembles the caller edge of a companion."""
 
 import attrs
+from aioquic.quic.configuration import QuicConfiguration
 from opentelemetry.metrics import Meter
 
 from pomelotrail_companion.draining import DrainingState
@@ -24,20 +25,16 @@
 from .packet_router import PacketRouter
 from .packet_socket import PacketSocket
 from .pass_on import PassOnDecisions
-from .quic_edge import QuicEdge, quic_configuration
+from .quic_edge import QuicEdge
 
 
 @attrs.frozen
 class EdgeContext:
-    """Dependencies of the edge on the other parts of the companion.
-
-    ``certificate`` and ``private_key`` are paths of PEM files.
-    """
+    """Dependencies of the edge on the other parts of the companion."""
 
     process: ProcessSettings
     token: RoutingToken
-    certificate: str
-    private_key: str
+    quic: QuicConfiguration
     handler: RequestHandler
     admission: FlowAdmission
     draining: DrainingState
@@ -80,7 +77,7 @@
         context.meter,
     )
     edge = QuicEdge(
-        quic_configuration(context.certificate, context.private_key),
+        context.quic,
         TokenIssuer(process.token_keys, context.token),
         context.handler,
         packet_socket.return_to_caller,
--- a/packages/pomelotrail-core/pomelotrail_core/command_line/command.py
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/command.py
@@ -24,6 +24,14 @@
     def examples(self) -> str:
         """Return examples for the help text, one per line."""
 
+    @property
+    def uses_operator_security(self) -> bool:
+        """Return whether the operator's certificates are needed to run the command.
+
+        A command that runs a program has those in its settings.
+        """
+        return True
+
     @abc.abstractmethod
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the arguments."""
@@ -42,7 +50,9 @@
             formatter_class=argparse.RawDescriptionHelpFormatter,
         )
         self.add_arguments(parser)
-        parser.set_defaults(run=self.run)
+        parser.set_defaults(
+            run=self.run, uses_operator_security=self.uses_operator_security
+        )
 
     def _indented_examples(self) -> str:
         """Return the examples indented for the help text."""
--- a/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
@@ -25,6 +25,8 @@
     replace_closed_streams()
     parsed = command_parser(program, description, commands).parse_args(arguments)
     directory = os.environ.get(TLS_DIRECTORY_VARIABLE, "")
+    if not parsed.uses_operator_security:
+        directory = ""
     if problem := set_up_operator_security(directory):
         print(problem, file=sys.stderr)
         return EXIT_USAGE
--- a/packages/pomelotrail-core/pomelotrail_core/standard_streams.py
+++ b/packages/pomelotrail-core/pomelotrail_core/standard_streams.py
@@ -4,6 +4,7 @@
 conditions ends it or stops it.
 """
 
+import contextlib
 import io
 import os
 import select
@@ -40,6 +41,12 @@
     os.close(null)
 
 
+def print_error(line: str) -> None:
+    """Print a line to standard error, if it accepts it."""
+    with contextlib.suppress(OSError):
+        print(line, file=sys.stderr, flush=True)
+
+
 class LogStream(io.TextIOBase):
     """A descriptor as a text stream that neither blocks nor fails.
 
--- a/packages/pomelotrail-core/pomelotrail_core/starting/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/starting/const.py
@@ -12,4 +12,4 @@
 FILES_WAIT: Final = timedelta(seconds=10)
 FILES_RETRY_INTERVAL: Final = timedelta(milliseconds=250)
 # Files that haven't changed for this long are not being written.
-FILES_SETTLED: Final = timedelta(seconds=2)
+FILES_SETTLED: Final = timedelta(seconds=5)
--- a/packages/pomelotrail-core/pomelotrail_core/starting/files.py
+++ b/packages/pomelotrail-core/pomelotrail_core/starting/files.py
@@ -1,7 +1,6 @@
 """Reads the files of a process, which may be just being replaced."""
 
 import os
-import sys
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
@@ -12,6 +11,7 @@
 
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.logs import get_logger
+from pomelotrail_core.standard_streams import print_error
 
 from .const import FILES_RETRY_INTERVAL, FILES_SETTLED, FILES_WAIT
 
@@ -70,7 +70,7 @@
         if not isinstance(result, Err) or not watch.is_worth_waiting():
             return result
         if not is_logged:
-            print(_waiting_line(result.err_value), file=sys.stderr, flush=True)
+            print_error(_waiting_line(result.err_value))
             is_logged = True
         sleep(FILES_RETRY_INTERVAL)
 
