Programs: SIGHUP ends nothing, early SIGINT and second signals end cleanly

Operators saw SIGHUP end a balancer or a companion at any time (code -1), SIGINT during the import of the program leave a traceback of about 30 lines, and a second SIGTERM during the stop of a balancer turn its exit code into -15.

Settings are read at the start only, so SIGHUP has no effect but a line; it is ignored from the first import on. Until the handlers stand, SIGINT ends the process like SIGTERM. The demo stops its fleet on SIGHUP, since the fleet's programs no longer end with the terminal.

FleetProcess sends signals by itself now.

--- a/harness/demo.py
+++ b/harness/demo.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import signal
 import sys
 import tempfile
 from collections.abc import Sequence
@@ -54,6 +55,11 @@
 
 async def _async_demo() -> int:
     """Start the fleet, serve callers, kill a balancer, and show what happened."""
+    demo = asyncio.current_task()
+    assert demo is not None
+    # The programs of the fleet ignore SIGHUP, so a closed terminal must stop it.
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, demo.cancel)
     with tempfile.TemporaryDirectory() as directory:
         fleet = Fleet(KESAR_TIDEWATER, Path(directory))
         try:
--- a/harness/interactive_demo.py
+++ b/harness/interactive_demo.py
@@ -34,7 +34,8 @@
     shutil.rmtree(DEMO_DIRECTORY, ignore_errors=True)
     DEMO_DIRECTORY.mkdir()
     stop = asyncio.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
+    # The programs of the fleet ignore SIGHUP, so a closed terminal must stop it.
+    for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     fleet = Fleet(KESAR_TIDEWATER, DEMO_DIRECTORY)
     try:
--- a/harness/process.py
+++ b/harness/process.py
@@ -1,6 +1,7 @@
 """One process of a fleet."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -64,10 +65,14 @@
         return output.decode()
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal, for example SIGSTOP to suspend the process."""
+        """Send a signal, for example SIGSTOP to suspend the process.
+
+        The method of asyncio collects the exit code of a process that has just ended,
+        and the event loop, which no longer finds it, reports 255 in its place.
+        """
         if self.is_running:
-            assert self._process is not None
-            self._process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
 
     async def async_kill(self) -> None:
         """Kill the process with SIGKILL."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/main.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/main.py
@@ -3,6 +3,7 @@
 import sys
 from collections.abc import Sequence
 
+import pomelotrail_core.early_signals  # noqa: F401 (imported first for its effect)
 from pomelotrail_core.command_line import run_command_line
 
 from .operators import COMMANDS
