Logs command: foreign lines and a full device leave no traceback

Operators saw `pomelotrail logs` end with a RecursionError when a file had one deeply nested line, or with an OSError on a full device; a time without a zone or text that can't be encoded would have ended it too. Such lines are skipped or shown escaped, and a full device leaves one line with the remedy and code 1.

Before, test_lines_that_are_no_log_lines and test_output_goes_to_a_full_device found `Traceback (most recent call last)` in standard error. A reader that ends early, a missing file and a directory were handled before (tried).

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/log_lines.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/log_lines.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Iterable, Iterator
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 from pathlib import Path
 from typing import Any, Final
 
@@ -88,7 +88,10 @@
     try:
         fields, _ = json.JSONDecoder().raw_decode(text[start:])
         at, process, part, event = (fields.pop(name) for name in _REQUIRED_FIELDS)
-        return LogLine(datetime.fromisoformat(at), process, part, event, fields)
-    except (ValueError, KeyError, TypeError):
-        # The line was truncated when its process stopped.
+        time = datetime.fromisoformat(at)
+        if time.tzinfo is None:
+            time = time.replace(tzinfo=UTC)
+        return LogLine(time, process, part, event, fields)
+    except (ValueError, KeyError, TypeError, RecursionError):
+        # The line was truncated when its process stopped, or is not one of ours.
         return None
--- a/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
+++ b/packages/pomelotrail-core/pomelotrail_core/command_line/program.py
@@ -1,6 +1,8 @@
 """Runs the command selected by the arguments."""
 
 import argparse
+import errno
+import io
 import os
 import sys
 from collections.abc import Sequence
@@ -12,7 +14,13 @@
 )
 
 from .command import Command
-from .const import EXIT_CODES_HELP, EXIT_OK, EXIT_USAGE, TLS_DIRECTORY_VARIABLE
+from .const import (
+    EXIT_CODES_HELP,
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_USAGE,
+    TLS_DIRECTORY_VARIABLE,
+)
 
 
 def run_command_line(
@@ -23,6 +31,9 @@
 ) -> int:
     """Parse the arguments, run their command and return its exit code."""
     replace_closed_streams()
+    if isinstance(sys.stdout, io.TextIOWrapper):
+        # Texts of other processes may hold what the terminal can't show.
+        sys.stdout.reconfigure(errors="backslashreplace")
     parsed = command_parser(program, description, commands).parse_args(arguments)
     directory = os.environ.get(TLS_DIRECTORY_VARIABLE, "")
     if not parsed.uses_operator_security:
@@ -37,6 +48,12 @@
         # The reader of the output, such as ``head``, closed the pipe: no failure.
         discard_standard_output()
         return EXIT_OK
+    except OSError as error:
+        if error.errno != errno.ENOSPC:
+            raise
+        discard_standard_output()
+        print(f"{error}; free space where the output goes", file=sys.stderr)
+        return EXIT_FAILED
     return code
 
 
