Demo: a second one leaves the files of a running one alone

A demo now locks the folder while it runs, and a second one ends with a line that says what to do. The lock ends with the process. Stopped by SIGTERM or SIGHUP, a demo ends with a line instead of a traceback of CancelledError.

--- a/harness/demo.py
+++ b/harness/demo.py
@@ -50,7 +50,12 @@
     )
     arguments = parser.parse_args()
     run = async_serve_until_signal if arguments.keep else _async_demo
-    sys.exit(asyncio.run(run()))
+    try:
+        code = asyncio.run(run())
+    except asyncio.CancelledError:
+        print("demo stopped by a signal")
+        code = 1
+    sys.exit(code)
 
 
 async def _async_demo() -> int:
--- a/harness/interactive_demo.py
+++ b/harness/interactive_demo.py
@@ -1,8 +1,8 @@
 """Keeps a demo fleet running, so that a user can operate it by hand."""
 
 import asyncio
-import shutil
 import signal
+import sys
 from typing import Any, Final
 
 import yaml
@@ -13,6 +13,7 @@
     desk_callers,
     ledger_callers,
 )
+from harness.demo_directory import ClaimedDirectory, DirectoryInUse
 from harness.fleet import Fleet
 from harness.process import ROOT
 from harness.specification import KESAR_TIDEWATER
@@ -31,8 +32,11 @@
 
 async def async_serve_until_signal() -> int:
     """Start the fleet with callers and serve until SIGINT or SIGTERM."""
-    shutil.rmtree(DEMO_DIRECTORY, ignore_errors=True)
-    DEMO_DIRECTORY.mkdir()
+    try:
+        claimed = ClaimedDirectory(DEMO_DIRECTORY)
+    except DirectoryInUse as error:
+        print(error, file=sys.stderr)
+        return 1
     stop = asyncio.Event()
     # The programs of the fleet ignore SIGHUP, so a closed terminal must stop it.
     for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
@@ -52,6 +56,7 @@
         print("stopping")
     finally:
         await fleet.async_stop()
+        claimed.release()
     return 0
 
 
