Programs: a start without descriptors names the limit of open files

With 12 descriptors, balancer and companion ended with a line that advised to change the address (EMFILE, 'waited 0 s'). The line now says to raise the limit.

Before, test_no_descriptor_is_left failed on the missing advice.

--- a/packages/pomelotrail-core/pomelotrail_core/starting/addresses.py
+++ b/packages/pomelotrail-core/pomelotrail_core/starting/addresses.py
@@ -17,6 +17,8 @@
 _REMEDIES: Final = {
     errno.EADDRINUSE: "end the program that holds it, or change the setting",
     errno.EADDRNOTAVAIL: "assign the address to this VM, or change the setting",
+    errno.EMFILE: "raise the limit of open files of this process",
+    errno.ENFILE: "raise the limit of open files of this VM",
     errno.EACCES: "allow the port to this user, or change the setting",
 }
 
@@ -44,10 +46,11 @@
             problem = f"address {endpoint} can't be used ({_describe(error)})"
             is_temporary = error.errno in _TEMPORARY
             if not is_temporary or clock.monotonic() >= deadline:
-                waited = ADDRESS_WAIT.total_seconds() if is_temporary else 0
+                if is_temporary:
+                    problem += f", waited {ADDRESS_WAIT.total_seconds():.0f} s"
                 raise StartError(
                     field,
-                    f"{problem}, waited {waited:.0f} s",
+                    problem,
                     _REMEDIES.get(error.errno or 0, "change the setting"),
                 ) from error
         if not is_logged:
--- a/packages/pomelotrail-core/pomelotrail_core/starting/tests/test_addresses.py
+++ b/packages/pomelotrail-core/pomelotrail_core/starting/tests/test_addresses.py
@@ -66,3 +66,11 @@
         with self.assertRaises(StartError):
             await self.async_open_address()
         self.assertEqual(self.attempts, 1)
+
+    async def test_no_descriptor_is_left(self) -> None:
+        """Guards against advice on the address when the limit of files is the cause."""
+        self.error = OSError(errno.EMFILE, "too many open files")
+        with self.assertRaises(StartError) as raised:
+            await self.async_open_address()
+        self.assertRegex(str(raised.exception), "EMFILE.*raise the limit of open")
+        self.assertNotIn("waited", str(raised.exception))
