Companion: wait for a zone that is not listed yet

Operators saw a companion end with a traceback of AssertionError when the zone in its settings was not in the configuration, although it waits for its service and its backend server. It waits for the zone too, and its line names all three.

Before, on real processes, test_zone_that_is_published_later ended with `assert zone is not None` and ProcessStartError.

--- a/harness/tests/test_program_starts.py
+++ b/harness/tests/test_program_starts.py
@@ -129,6 +129,22 @@
         await self.async_check_files(name, files, b"-----BEGIN CERT")
         await self.async_check_files(name, files[:1], other[0].read_bytes())
 
+    async def test_zone_that_is_published_later(self) -> None:
+        """Guards against a companion that ends because its zone is not listed yet."""
+        await self.fleet.async_publish()
+        name = self.companion.name
+        settings = self.directory / f"{name}.yaml"
+        settings.write_text(
+            yaml.safe_dump({**yaml.safe_load(settings.read_text()), "zone": "later"})
+        )
+        starting = asyncio.create_task(self.fleet.processes[name].async_start())
+        line = asyncio.create_task(self.async_wait_for_line(name, "zone 'later' is"))
+        await asyncio.wait([starting, line], return_when=asyncio.FIRST_COMPLETED)
+        line.cancel()
+        self.fleet.document["zones"].append({"name": "later", "number": 9})
+        await self.fleet.async_publish()
+        await starting
+
     async def test_unusable_document(self) -> None:
         """Guards against processes that adopt nothing after an unusable document."""
         await self.fleet.async_publish()
--- a/packages/pomelotrail-companion/pomelotrail_companion/companion.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/companion.py
@@ -192,19 +192,24 @@
         await self._async_open_edge(configuration, handler, detector)
 
     async def _async_wait_listed(self) -> Configuration:
-        """Wait until the configuration lists the backend server on this VM."""
-        name, service = self._settings.process.name, self._settings.service
-        configuration = await self._coordinator.async_wait_for_first()
-        if not _is_listed(configuration, service, name):
+        """Wait until the configuration lists the backend server and zone of this VM."""
+        process, service = self._settings.process, self._settings.service
+
+        def is_listed(current: Configuration) -> bool:
+            """Return whether a configuration has all that this process refers to."""
+            is_server_listed = _is_listed(current, service, process.name)
+            return is_server_listed and current.zone(process.zone) is not None
+
+        if not is_listed(await self._coordinator.async_wait_for_first()):
             _LOGGER.warning(
-                "Backend server %r is not listed under service %r; waiting until "
-                "it is published. Check name and service in the settings",
-                name,
+                "Backend server %r is not listed under service %r, or zone %r is not "
+                "listed; waiting until both are published. Check name, service and "
+                "zone in the settings",
+                process.name,
                 service,
+                process.zone,
             )
-        return await self._coordinator.async_wait_until(
-            lambda current: _is_listed(current, service, name)
-        )
+        return await self._coordinator.async_wait_until(is_listed)
 
     async def _async_open_edge(
         self,
