--- a/harness/demo.py
+++ b/harness/demo.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import signal
 import sys
 import tempfile
 from collections.abc import Sequence
@@ -49,11 +50,21 @@
     )
     arguments = parser.parse_args()
     run = async_serve_until_signal if arguments.keep else _async_demo
-    sys.exit(asyncio.run(run()))
+    try:
+        code = asyncio.run(run())
+    except asyncio.CancelledError:
+        print("demo stopped by a signal")
+        code = 1
+    sys.exit(code)
 
 
 async def _async_demo() -> int:
     """Start the fleet, serve callers, kill a balancer, and show what happened."""
+    demo = asyncio.current_task()
+    assert demo is not None
+    # The programs of the fleet ignore SIGHUP, so a closed terminal must stop it.
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, demo.cancel)
     with tempfile.TemporaryDirectory() as directory:
         fleet = Fleet(KESAR_TIDEWATER, Path(directory))
         try:
--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/assembly.py
@@ -1,13 +1,13 @@
 """Assembles the caller edge of a companion."""
 
 import attrs
+from aioquic.quic.configuration import QuicConfiguration
 from opentelemetry.metrics import Meter
 
 from pomelotrail_companion.draining import DrainingState
 from pomelotrail_companion.draining.orders import apply_state_to_edge
 from pomelotrail_companion.requests import RequestHandler
 from pomelotrail_core.clock import Clock
-from pomelotrail_core.datagrams import DatagramSocket, ReadPause
 from pomelotrail_core.membership import Roster
 from pomelotrail_core.routing import (
     Encapsulation,
@@ -25,24 +25,19 @@
 from .packet_router import PacketRouter
 from .packet_socket import PacketSocket
 from .pass_on import PassOnDecisions
-from .quic_edge import QuicEdge, quic_configuration
+from .quic_edge import QuicEdge
 
 
 @attrs.frozen
 class EdgeContext:
-    """Dependencies of the edge on the other parts of the companion.
-
-    ``certificate`` and ``private_key`` are paths of PEM files.
-    """
+    """Dependencies of the edge on the other parts of the companion."""
 
     process: ProcessSettings
     token: RoutingToken
-    certificate: str
-    private_key: str
+    quic: QuicConfiguration
     handler: RequestHandler
     admission: FlowAdmission
     draining: DrainingState
-    read_pause: ReadPause
     roster: Roster
     own_version: VersionGetter
     versions: VersionWatch
@@ -52,8 +47,8 @@
 
 
 @attrs.frozen
-class OpenedEdge:
-    """The edge of a companion with its packet socket."""
+class Edge:
+    """The edge of a companion with the protocol of its packet socket."""
 
     flows: QuicEdge
     packets: PacketSocket
@@ -68,8 +63,8 @@
         }
 
 
-def open_edge(context: EdgeContext) -> OpenedEdge:
-    """Open the packet socket of a companion and return its edge."""
+def build_edge(context: EdgeContext) -> Edge:
+    """Return the edge of a companion; its packet socket is to be opened."""
     process = context.process
     events = EventThrottle(context.recorder, context.clock)
     drops = DropCounter(context.meter, events)
@@ -82,7 +77,7 @@
         context.meter,
     )
     edge = QuicEdge(
-        quic_configuration(context.certificate, context.private_key),
+        context.quic,
         TokenIssuer(process.token_keys, context.token),
         context.handler,
         packet_socket.return_to_caller,
@@ -103,5 +98,4 @@
     )
     packet_socket.attach(router)
     apply_state_to_edge(context.draining, edge)
-    DatagramSocket(packet_socket, process.packets.socket_address, context.read_pause)
-    return OpenedEdge(edge, packet_socket)
+    return Edge(edge, packet_socket)
