Processes: errors of finalizers don't hold up the end of a process

Cause: idle connections to the store were still open when the event loop closed. The finalizer of their writers failed (Event loop is closed), and the interpreter wrote that to standard error, which blocks while its reader stands still.

--- a/packages/pomelotrail-core/pomelotrail_core/lean_process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/lean_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+import sys
 import time
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
@@ -69,9 +70,11 @@
     def log_callback_errors(self) -> None:
         """Log and count errors of callbacks, and of tasks that nobody waits for.
 
-        The loop's own handler would write to standard error, which may block.
+        The handlers of the loop and the interpreter would write to standard error,
+        which may block.
         """
         asyncio.get_running_loop().set_exception_handler(self._handle_callback_error)
+        sys.unraisablehook = self._handle_unraisable
 
     async def _async_run(self, name: str, work: Work) -> None:
         """Run until the work is done, with a delay after each failure."""
@@ -120,7 +123,7 @@
             self._log.write(_PART, "task_recovered", task=name, failures=failures)
 
     def _handle_callback_error(
-        self, _: asyncio.AbstractEventLoop, context: dict[str, Any]
+        self, _: asyncio.AbstractEventLoop | None, context: dict[str, Any]
     ) -> None:
         """Count the error of a callback, and log it."""
         self._counters.add("callbacks_failed")
@@ -130,6 +133,11 @@
             # The counter tells.
             return
 
+    def _handle_unraisable(self, unraisable: "sys.UnraisableHookArgs") -> None:
+        """Count and log an error that has no caller, such as that of a finalizer."""
+        context = {"message": unraisable.err_msg, "exception": unraisable.exc_value}
+        self._handle_callback_error(None, context)
+
     def _log_callback_error(self, context: dict[str, Any]) -> None:
         """Log the error of a callback, unless one was logged just now."""
         now = self._clock.monotonic()
@@ -142,7 +150,7 @@
             "callback_failed",
             problem=repr(error)[:_MAX_PROBLEM_LENGTH] if error is not None else "",
             place=_innermost_place(error),
-            message=str(context.get("message", "")),
+            message=str(context.get("message") or ""),
             failures=self._counters.value("callbacks_failed"),
         )
 
--- a/packages/pomelotrail-core/pomelotrail_core/tests/test_lean_process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/tests/test_lean_process.py
@@ -1,10 +1,13 @@
 """Tests of the tasks and signals of a role."""
 
 import asyncio
+import contextlib
 import gc
+import io
 import json
 import os
 import signal
+import sys
 import unittest
 from datetime import timedelta
 
@@ -129,6 +132,7 @@
 
     async def test_errors_of_callbacks(self) -> None:
         """All are counted, and one line tells; none goes to standard error."""
+        self.addCleanup(setattr, sys, "unraisablehook", sys.unraisablehook)
         self.role.log_callback_errors()
         loop = asyncio.get_running_loop()
 
@@ -145,6 +149,27 @@
         self.assertIn("MemoryError", line["problem"])
         self.assertTrue(line["place"].startswith("test_lean_process.py:"))
 
+    async def test_failing_finalizer_is_logged(self) -> None:
+        """Guards against a full standard error that holds up the end of a process."""
+        self.addCleanup(setattr, sys, "unraisablehook", sys.unraisablehook)
+        self.role.log_callback_errors()
+
+        class Failing:
+            """Fails when it is collected."""
+
+            def __del__(self) -> None:
+                """Fail like the writer of a stream whose loop is closed."""
+                raise RuntimeError("Event loop is closed")
+
+        standard_error = io.StringIO()
+        with contextlib.redirect_stderr(standard_error):
+            Failing()
+        self.assertEqual(standard_error.getvalue(), "")
+        self.assertEqual(self.counters.value("callbacks_failed"), 1)
+        (line,) = self.read_lines()
+        self.assertEqual(line["event"], "callback_failed")
+        self.assertIn("Event loop is closed", line["problem"])
+
 
 class RunRoleTest(unittest.TestCase):
     """An event loop without memory."""
