Soak: ends of processes are watched

The soak judged by what callers and backend servers see, and told every process when to end.

Each process is now watched until it ends. An end that nobody told, and a code other than 0 after SIGTERM or SIGINT, are violations with the name, the code and the last line of the log; the process is started again after 0.5 s with the settings in effect, as the platform does. A signal that comes before the launcher runs any code isn't judged: the interpreter ends by it whatever the code.

Processes start by the run lines, through launch.py, so that early sockets and signals are those of the platform. Their logs go through a pipe that the soak reads, as a basis for faults of the log.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -70,13 +70,9 @@
         """Run one seed once a job is free."""
         log_folder = folder / str(seed)
         async with free_jobs:
-            try:
-                result = await async_run_seed(
-                    seed, faults, options.processes, prelude, log_folder
-                )
-            except TimeoutError:
-                violation = "0.00 a process did not get ready"
-                result = SeedResult(seed, [violation], {}, 0, [])
+            result = await async_run_seed(
+                seed, faults, options.processes, prelude, log_folder
+            )
         print_result(result, faults, log_folder, options)
         return result
 
--- a/soak/broken.py
+++ b/soak/broken.py
@@ -6,9 +6,12 @@
     apply("ignore-drain")
 """
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, Final
 
+_TASK_FAILURE_DELAY_S: Final = 1.0
+
 
 def _ignore_drain() -> None:
     """Offer new flows to draining servers, which accept them."""
@@ -78,6 +81,26 @@
     Lookups.look_up = lambda self, packet: None
 
 
+def _fail_task() -> None:
+    """Let a task of one balancer fail a second after each start."""
+    from pomelotrail_core.lean_process import Role
+
+    handle_signals = Role.handle_signals
+
+    async def async_fail() -> None:
+        """Raise an exception that nothing expects."""
+        await asyncio.sleep(_TASK_FAILURE_DELAY_S)
+        raise ValueError("broken on purpose")
+
+    def handle_signals_and_fail(self: Any) -> None:
+        """Start the task that fails."""
+        handle_signals(self)
+        if self._log._process == "entry-0":
+            self.run("broken", async_fail())
+
+    Role.handle_signals = handle_signals_and_fail
+
+
 VARIANTS: Final[dict[str, Callable[[], None]]] = {
     "ignore-drain": _ignore_drain,
     "ignore-zones": _ignore_zones,
@@ -85,6 +108,7 @@
     "keep-first-version": _keep_first_version,
     "reset-on-suspicion": _reset_on_suspicion,
     "forget-owners": _forget_owners,
+    "fail-task": _fail_task,
 }
 
 
--- a/soak/const.py
+++ b/soak/const.py
@@ -30,3 +30,13 @@
 # Port of the route whose service changes with each configuration.
 MOVING_PORT: Final = 7443
 CALLERS_PER_SERVICE: Final = 6
+
+# A process that got SIGTERM must have ended by then, with the time it may be
+# suspended; the platform allows 6 s.
+STOP_BOUND_S: Final = 12.0
+# The platform starts a process that ended by itself again after this time.
+END_RESTART_DELAY_S: Final = 0.5
+# Small, so that a pipe that nobody reads is full at once.
+PIPE_BYTES: Final = 4_096
+READ_BYTES: Final = 65_536
+METRICS_PORT: Final = 9464
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -100,10 +100,8 @@
             process.send_signal(signal.SIGCONT)
 
     async def _async_reload(self, fault: Fault) -> None:
-        """Send SIGHUP to one process that has finished its start."""
-        process = _pick(self._fleet.processes, fault)
-        if process.is_running and any(process.lines()):
-            process.send_signal(signal.SIGHUP)
+        """Send SIGHUP to one process that has begun its start."""
+        _pick(self._fleet.processes, fault).send_to_running(signal.SIGHUP)
 
     async def _async_herd_kill(self, fault: Fault) -> None:
         """Kill each process with a probability of one half, all at once."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,17 +12,13 @@
 
 from stand_ins.flows import CallerHost, LoopbackNetwork
 from stand_ins.loopback_networks import ClaimedNetwork
-from stand_ins.platform_fleet import (
-    RoleProcess,
-    async_wait_ready,
-    free_ports,
-    write_settings,
-)
+from stand_ins.platform_fleet import async_wait_ready, free_ports, write_settings
 from stand_ins.platform_store import PlatformStore, PublishedRoute, Publisher
 
 from .const import (
     COLD_DURATION_S,
     COLD_FLOWS_PER_S,
+    END_RESTART_DELAY_S,
     MOVING_PORT,
     PORTS,
     REQUEST_DURATION_S,
@@ -33,6 +29,7 @@
 )
 from .endpoints import SoakCaller, SoakServer
 from .links import CompanionLink, StoreLink
+from .processes import ProcessEnd, SoakProcess, catch_hangups, link_program
 from .schedule import get_zone
 
 _ROUTER_UPDATE_DELAY_S = 1.0
@@ -46,7 +43,7 @@
     """VM of a backend server and its companion."""
 
     index: int
-    process: RoleProcess
+    process: SoakProcess
     server: SoakServer
     link: CompanionLink
     link_address: str
@@ -65,7 +62,7 @@
 class BalancerVM:
     """VM of a balancer."""
 
-    process: RoleProcess
+    process: SoakProcess
     store: StoreLink
     usable_from: float = 0.0
     usable_until: float | None = None
@@ -94,7 +91,11 @@
         self._network = LoopbackNetwork()
         self._server_numbers = iter(range(1_000_000))
         self.ports = free_ports(f"{self._prefix}.2.1")
+        self.bad_ends: list[str] = []
         self._servers: list[asyncio.Server] = []
+        self._launcher = link_program(folder)
+        self._is_stopping = False
+        self._restarts: set[asyncio.Task] = set()
         self._restart_locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._caller_host: CallerHost | None = None
 
@@ -104,13 +105,14 @@
         return asyncio.get_running_loop().time()
 
     @property
-    def processes(self) -> list[RoleProcess]:
+    def processes(self) -> list[SoakProcess]:
         """Return all processes of the roles."""
         vms = (*self.balancer_vms, *self.backend_vms, *self._spare_backend_vms)
         return [each.process for each in vms]
 
     async def async_start(self) -> None:
         """Start all processes and wait until they are ready."""
+        catch_hangups()
         await self.store.async_start()
         for index in range(self._balancer_count):
             await self._async_add_balancer_vm(index)
@@ -121,6 +123,8 @@
         self.publish()
         for each in self.backend_vms:
             self.start_server(each)
+        for each in self.processes:
+            each.pipe.resume()
         await asyncio.gather(*(each.async_start() for each in self.processes))
         for each in self.processes:
             await async_wait_ready(each, self.ports.ready)
@@ -129,10 +133,13 @@
 
     async def async_stop(self) -> None:
         """Stop all processes that this fleet started, by their ids."""
+        self._is_stopping = True
+        for task in self._restarts:
+            task.cancel()
         for each in self.processes:
-            if each.is_running:
-                each.send_signal(signal.SIGCONT)
+            each.send_to_running(signal.SIGCONT)
             await each.async_stop(signal.SIGKILL)
+            each.pipe.close()
         for vm in (*self.backend_vms, *self._spare_backend_vms):
             vm.link.close()
         for balancer_vm in self.balancer_vms:
@@ -198,14 +205,15 @@
 
     async def async_restart(
         self,
-        process: RoleProcess,
+        process: SoakProcess,
         number: signal.Signals,
         while_down: Callable[[], None] = lambda: None,
+        repeats: int = 0,
     ) -> None:
         """Stop a process by a signal and start it again, as the platform does."""
         # Concurrent restarts would start two processes at the same address.
         async with self._restart_locks[process.name]:
-            await self._async_restart(process, number, while_down)
+            await self._async_restart(process, number, while_down, repeats)
 
     async def async_reuse_address(self, vm: BackendVM, service: str) -> None:
         """Reassign the VM of a crashed backend server to another service.
@@ -217,12 +225,29 @@
         def start_successor() -> None:
             """Start a server of the other service at the address."""
             vm.server.service = service
-            self._write_settings(vm)
+            self.write_settings(vm.process)
             self.start_server(vm)
 
         vm.server.crash()
         await self.async_restart(vm.process, signal.SIGKILL, start_successor)
 
+    def write_settings(self, process: SoakProcess) -> None:
+        """Write the settings of a process that hold now."""
+        balancer_vm = self._find_balancer_vm(process)
+        if balancer_vm is not None:
+            zone = get_zone(self.balancer_vms.index(balancer_vm))
+            write_settings(process, self.ports, balancer_vm.store.port, zone=zone)
+            return
+        vms = (*self.backend_vms, *self._spare_backend_vms)
+        vm = next(each for each in vms if each.process is process)
+        write_settings(
+            process,
+            self.ports,
+            self.store.port,
+            service=vm.server.service,
+            zone=vm.zone,
+        )
+
     def has_flow(self, flow: bytes, expected_sequence: int) -> bool:
         """Return whether a backend server has the flow of a caller."""
         return any(
@@ -231,31 +256,58 @@
 
     async def _async_restart(
         self,
-        process: RoleProcess,
+        process: SoakProcess,
         number: signal.Signals,
         while_down: Callable[[], None],
+        repeats: int,
     ) -> None:
         """Stop a process, and start it after the restart delay of the platform."""
-        balancer_vm = next(
-            (each for each in self.balancer_vms if each.process is process), None
-        )
+        balancer_vm = self._find_balancer_vm(process)
         if balancer_vm is not None:
             is_graceful = number is signal.SIGTERM
             balancer_vm.usable_until = self.now + (
                 _ROUTER_UPDATE_DELAY_S if is_graceful else 0
             )
-        if process.is_running:
-            process.send_signal(signal.SIGCONT)
-        await process.async_stop(number)
+        process.send_to_running(signal.SIGCONT)
+        await process.async_stop(number, repeats)
         await asyncio.sleep(_RESTART_DELAY_S)
         while_down()
+        await self._async_start_again(process)
+
+    async def _async_start_again(self, process: SoakProcess) -> None:
+        """Start a process; routers use it again after their delay."""
         await process.async_start()
+        balancer_vm = self._find_balancer_vm(process)
         if balancer_vm is not None:
             balancer_vm.usable_from, balancer_vm.usable_until = (
                 self.now + _ROUTER_UPDATE_DELAY_S,
                 None,
             )
 
+    def _handle_end(self, process: SoakProcess, end: ProcessEnd) -> None:
+        """Record an end that is wrong; restart a process that ended by itself."""
+        if end.problem:
+            self.bad_ends.append(f"{self.now:.2f} {process.name} {end.problem}")
+        if end.told is not None or self._is_stopping:
+            return
+        balancer_vm = self._find_balancer_vm(process)
+        if balancer_vm is not None:
+            balancer_vm.usable_until = self.now
+        task = asyncio.create_task(self._async_restart_ended(process))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _async_restart_ended(self, process: SoakProcess) -> None:
+        """Start a process that ended by itself, unless a fault did so meanwhile."""
+        await asyncio.sleep(END_RESTART_DELAY_S)
+        async with self._restart_locks[process.name]:
+            if not process.is_running:
+                await self._async_start_again(process)
+
+    def _find_balancer_vm(self, process: SoakProcess) -> BalancerVM | None:
+        """Return the VM of a process if it is a balancer."""
+        return next((x for x in self.balancer_vms if x.process is process), None)
+
     def _pick_balancer(self) -> tuple[str, int]:
         """Return a random balancer in use by the routers; called for each packet."""
         now = self.now
@@ -271,21 +323,21 @@
     async def _async_add_balancer_vm(self, index: int) -> None:
         """Add the VM of a balancer with its link to the store."""
         host = f"{self._prefix}.1.{index + 1}"
-        process = RoleProcess(
-            "balancer", f"entry-{index}", host, self._folder, self._prelude
-        )
+        process = self._create_process("balancer", f"entry-{index}", host)
+        process.addresses = [f"{host}:{self.ports.packets}"]
         link = StoreLink(self.store.port)
         await link.async_start()
-        write_settings(process, self.ports, link.port, zone=get_zone(index))
         self.balancer_vms.append(BalancerVM(process, link))
+        self.write_settings(process)
 
     async def _async_add_backend_vm(self, index: int) -> None:
         """Add the VM of a backend server and a companion, with its link."""
         host = f"{self._prefix}.2.{index + 1}"
         link_address = f"{self._prefix}.4.{index + 1}"
-        process = RoleProcess(
-            "companion", f"side-{index}", host, self._folder, self._prelude
-        )
+        process = self._create_process("companion", f"side-{index}", host)
+        process.addresses = [
+            f"{host}:{port}" for port in (self.ports.packets, self.ports.from_server)
+        ]
         server_address = (host, self.ports.server)
         companion_address = (host, self.ports.from_server)
         service = SERVICES[index % len(SERVICES)]
@@ -305,16 +357,18 @@
         link = CompanionLink(link_address, host, return_addresses, ports, self.random)
         vm = BackendVM(index, process, server, link, link_address)
         self.backend_vms.append(vm)
-        self._write_settings(vm)
-
-    def _write_settings(self, vm: BackendVM) -> None:
-        """Write the settings of a companion."""
-        write_settings(
-            vm.process,
-            self.ports,
-            self.store.port,
-            service=vm.server.service,
-            zone=vm.zone,
+        self.write_settings(process)
+
+    def _create_process(self, role: str, name: str, host: str) -> SoakProcess:
+        """Return a process of this fleet."""
+        return SoakProcess(
+            role,
+            name,
+            host,
+            self._folder,
+            self._prelude,
+            self._launcher,
+            self._handle_end,
         )
 
     def _publish_server(self, vm: BackendVM, cold_ms: int) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -73,7 +73,7 @@
         self._checker.check_servers()
         return SeedResult(
             seed,
-            self._checker.violations,
+            [*self._fleet.bad_ends, *self._checker.violations],
             dict(self._checker.result_counts),
             self._checker.opened_flows,
             [each.value for each in self._injector.injected],
@@ -181,5 +181,8 @@
     try:
         await fleet.async_start()
         return await SeedRun(fleet, faults).async_run(seed)
+    except TimeoutError:
+        problem = f"{fleet.now:.2f} a process did not get ready"
+        return SeedResult(seed, [*fleet.bad_ends, problem], {}, 0, [])
     finally:
         await fleet.async_stop()
