Soak: the variant that ends by itself doesn't need a failing task

The variant fail-task relied on a failed task ending the process, which is about to change: then the variant would show nothing, whatever the soak notices. end-unasked sets the stop event of one balancer a second after each start, so that the process ends in order, with code 0 and nobody's signal: the end that is hardest to notice. The test is as strict as before.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-_TASK_FAILURE_DELAY_S: Final = 1.0
+_UNASKED_END_DELAY_S: Final = 1.0
 
 
 def _ignore_drain() -> None:
@@ -81,24 +81,20 @@
     Lookups.look_up = lambda self, packet: None
 
 
-def _fail_task() -> None:
-    """Let a task of one balancer fail a second after each start."""
+def _end_unasked() -> None:
+    """Let one balancer stop a second after each start, as if it had been told to."""
     from pomelotrail_core.lean_process import Role
 
     handle_signals = Role.handle_signals
 
-    async def async_fail() -> None:
-        """Raise an exception that nothing expects."""
-        await asyncio.sleep(_TASK_FAILURE_DELAY_S)
-        raise ValueError("broken on purpose")
-
-    def handle_signals_and_fail(self: Any) -> None:
-        """Start the task that fails."""
+    def handle_signals_and_stop(self: Any) -> None:
+        """Stop the process later, unless it is another one."""
         handle_signals(self)
         if self._log._process == "entry-0":
-            self.run("broken", async_fail())
+            loop = asyncio.get_running_loop()
+            loop.call_later(_UNASKED_END_DELAY_S, self.stop.set)
 
-    Role.handle_signals = handle_signals_and_fail
+    Role.handle_signals = handle_signals_and_stop
 
 
 VARIANTS: Final[dict[str, Callable[[], None]]] = {
@@ -108,7 +104,7 @@
     "keep-first-version": _keep_first_version,
     "reset-on-suspicion": _reset_on_suspicion,
     "forget-owners": _forget_owners,
-    "fail-task": _fail_task,
+    "end-unasked": _end_unasked,
 }
 
 
--- a/soak/tests/test_processes.py
+++ b/soak/tests/test_processes.py
@@ -42,12 +42,12 @@
         self.assertNotEqual(ProcessEnd(-15, signal.SIGTERM, True, "").problem, "")
 
 
-class FailedTaskTest(unittest.IsolatedAsyncioTestCase):
-    """A process whose task fails."""
+class UnaskedEndTest(unittest.IsolatedAsyncioTestCase):
+    """A process that ends although nobody told it to."""
 
     async def test_process_that_ends_by_itself_is_noticed_and_restarted(self) -> None:
         """Guards against ends of processes that the soak passes over."""
-        prelude = "import soak.broken; soak.broken.apply('fail-task'); "
+        prelude = "import soak.broken; soak.broken.apply('end-unasked'); "
         with tempfile.TemporaryDirectory() as folder:
             fleet = SoakFleet(Path(folder), _SEED, _PROCESSES, prelude)
             try:
