Soak: faults of ordinary machines

The incident needed what differs elsewhere: logs, addresses, files, signals, limits and builds that others use too.

In calm, each process must answer probes of readiness and metrics, and at the end stop and log it.

Tests: the draw of all kinds is asked for as before; seeds 7 and 2002 keep their meaning by drawing from the kinds of the platform, and a seed of the kinds of machines is added.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,8 +13,9 @@
 import attrs
 
 from .broken import VARIANTS
+from .built_tree import BuiltTree
 from .run import SeedResult, async_run_seed
-from .schedule import Fault, FaultKind, draw_schedule
+from .schedule import KINDS, Fault, FaultKind, draw_schedule
 
 REGRESSIONS: Final = Path(__file__).resolve().parent / "regressions"
 
@@ -29,7 +30,11 @@
     )
     parser.add_argument("--processes", type=int, default=9, help="processes in a fleet")
     parser.add_argument("--jobs", type=int, default=2, help="fleets run in parallel")
+    parser.add_argument("--kinds", choices=KINDS, default="all", help="of faults")
     parser.add_argument("--variant", choices=VARIANTS, help="run a broken variant")
+    parser.add_argument(
+        "--built", action="store_true", help="run a build, beside further builds"
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="run the recorded schedules instead"
     )
@@ -48,13 +53,28 @@
     return schedules
 
 
-async def async_run_seeds(
+async def async_run_beside_builds(
     options: argparse.Namespace, folder: Path
+) -> tuple[list[SeedResult], BuiltTree]:
+    """Run all seeds from a build, while other builds run in the same tree."""
+    tree = BuiltTree(folder)
+    await tree.async_build()
+    if tree.problems:
+        return [], tree
+    builds = asyncio.create_task(tree.async_build_regularly())
+    results = await async_run_seeds(options, folder, tree.launcher)
+    builds.cancel()
+    await asyncio.wait([builds])
+    return results, tree
+
+
+async def async_run_seeds(
+    options: argparse.Namespace, folder: Path, launcher: Path | None = None
 ) -> list[SeedResult]:
     """Run all seeds, several in parallel."""
     first_seed = secrets.randbelow(10**9) if options.seed is None else options.seed
     schedules = {
-        number: draw_schedule(number, options.seconds)
+        number: draw_schedule(number, options.seconds, KINDS[options.kinds])
         for number in range(first_seed, first_seed + options.seeds)
     }
     if options.regressions:
@@ -71,7 +91,7 @@
         log_folder = folder / str(seed)
         async with free_jobs:
             result = await async_run_seed(
-                seed, faults, options.processes, prelude, log_folder
+                seed, faults, options.processes, prelude, log_folder, launcher
             )
         print_result(result, faults, log_folder, options)
         return result
@@ -101,7 +121,8 @@
     print(f"  logs: {log_folder}")
     print(
         f"  again: script/soak --seed {result.seed} --seconds {options.seconds} "
-        f"--processes {options.processes}"
+        f"--processes {options.processes} --kinds {options.kinds}"
+        f"{' --built' if options.built else ''}"
     )
 
 
@@ -130,10 +151,17 @@
     """Run all seeds and print the results; exit with 1 if a seed failed."""
     options = parse_arguments(sys.argv[1:])
     folder = Path(tempfile.mkdtemp(prefix="pomelotrail-soak-"))
-    results = asyncio.run(async_run_seeds(options, folder))
-    summary = summarize(results)
+    problems: list[str] = []
+    if options.built:
+        results, tree = asyncio.run(async_run_beside_builds(options, folder))
+        summary = summarize(results) | {"builds": tree.builds}
+        problems = tree.problems
+    else:
+        summary = summarize(asyncio.run(async_run_seeds(options, folder)))
+    for problem in problems:
+        print(f"  {problem}")
     print(json.dumps(summary))
-    sys.exit(1 if summary["failures"] else 0)
+    sys.exit(1 if summary["failures"] or problems else 0)
 
 
 if __name__ == "__main__":
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,7 +15,8 @@
     PORTS,
 )
 from .endpoints import RequestResult, SoakCaller
-from .fleet import BackendVM, SoakFleet
+from .fleet import SoakFleet
+from .vms import BackendVM
 
 
 class InvariantChecker:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,9 +6,11 @@
 from typing import TypeVar
 
 from .const import REWRITE_BOUND_S
-from .fleet import BackendVM, BalancerVM, SoakFleet
+from .fleet import SoakFleet
 from .links import Impairment
+from .machine_faults import MachineFaults
 from .schedule import Fault, FaultKind, get_other_service
+from .vms import BackendVM, BalancerVM
 
 ItemT = TypeVar("ItemT")
 _DELAY_S = 0.15
@@ -25,6 +27,7 @@
     def __init__(self, fleet: SoakFleet) -> None:
         """Initialize with the fleet."""
         self._fleet = fleet
+        self._machine_handlers = MachineFaults(fleet).handlers
         self._tasks: set[asyncio.Task] = set()
         self.disturbed_until = 0.0
         self.injected: list[FaultKind] = []
@@ -64,8 +67,11 @@
             FaultKind.FOREIGN_ENTRY: self._async_foreign_entry,
         }
         handler = handlers.get(fault.kind)
+        machine_handler = self._machine_handlers.get(fault.kind)
         if handler is not None:
             await handler(fault)
+        elif machine_handler is not None:
+            await machine_handler(fault, _pick(self._fleet.processes, fault))
         elif fault.kind.value.startswith("link"):
             await self._async_impair_link(fault)
         else:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,13 +3,12 @@
 import asyncio
 import random
 import signal
+import socket
 import time
 from collections import defaultdict
 from collections.abc import Callable
 from pathlib import Path
 
-import attrs
-
 from stand_ins.flows import CallerHost, LoopbackNetwork
 from stand_ins.loopback_networks import ClaimedNetwork
 from stand_ins.platform_fleet import async_wait_ready, free_ports, write_settings
@@ -31,6 +30,7 @@
 from .links import CompanionLink, StoreLink
 from .processes import ProcessEnd, SoakProcess, catch_hangups, link_program
 from .schedule import get_zone
+from .vms import BackendVM, BalancerVM
 
 _ROUTER_UPDATE_DELAY_S = 1.0
 _RESTART_DELAY_S = 0.3
@@ -38,41 +38,21 @@
 _MAX_BALANCERS = 16
 
 
-@attrs.define(eq=False)
-class BackendVM:
-    """VM of a backend server and its companion."""
-
-    index: int
-    process: SoakProcess
-    server: SoakServer
-    link: CompanionLink
-    link_address: str
-    server_id: str = ""
-    started_ms: int = 0
-    cold_since: float | None = None
-    is_draining: bool = False
-
-    @property
-    def zone(self) -> str:
-        """Return the availability zone."""
-        return get_zone(self.index)
-
-
-@attrs.define(eq=False)
-class BalancerVM:
-    """VM of a balancer."""
-
-    process: SoakProcess
-    store: StoreLink
-    usable_from: float = 0.0
-    usable_until: float | None = None
-
-
 class SoakFleet:
     """Processes, store, servers and callers of one run, on loopback."""
 
-    def __init__(self, folder: Path, seed: int, processes: int, prelude: str) -> None:
-        """Initialize; a third of the processes are balancers, 16 at most."""
+    def __init__(
+        self,
+        folder: Path,
+        seed: int,
+        processes: int,
+        prelude: str,
+        launcher: Path | None = None,
+    ) -> None:
+        """Initialize; a third of the processes are balancers, 16 at most.
+
+        The checkout runs unless the launcher of a build is given.
+        """
         self.random = random.Random(seed)
         self.store = PlatformStore()
         self.publisher = Publisher(self.store)
@@ -92,8 +72,11 @@
         self._server_numbers = iter(range(1_000_000))
         self.ports = free_ports(f"{self._prefix}.2.1")
         self.bad_ends: list[str] = []
+        # Sockets of other programs, and processes whose metrics address one has.
+        self.holders: list[socket.socket] = []
+        self.without_metrics: set[str] = set()
         self._servers: list[asyncio.Server] = []
-        self._launcher = link_program(folder)
+        self._launcher = launcher or link_program(folder)
         self._is_stopping = False
         self._restarts: set[asyncio.Task] = set()
         self._restart_locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
@@ -140,6 +123,8 @@
             each.send_to_running(signal.SIGCONT)
             await each.async_stop(signal.SIGKILL)
             each.pipe.close()
+        for holder in self.holders:
+            holder.close()
         for vm in (*self.backend_vms, *self._spare_backend_vms):
             vm.link.close()
         for balancer_vm in self.balancer_vms:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import os
+import resource
 import signal
 import sys
 from collections.abc import Callable
+from importlib.machinery import EXTENSION_SUFFIXES
 from pathlib import Path
 from typing import Final
 
@@ -30,14 +32,23 @@
 
 
 def link_program(folder: Path) -> Path:
-    """Link the checkout in the layout of a build and return ``launch.py`` there."""
-    application = folder / "target" / "app"
-    application.mkdir(parents=True)
+    """Link the checkout in the layout of a build and return ``launch.py`` there.
+
+    Builds of a folder for the program and of releases for each interpreter are served.
+    """
+    target = folder / "target"
+    application = target / "app"
+    for each in (application, target / "current", target / "releases"):
+        each.mkdir(parents=True)
     packages = [*ROOT.glob("packages/*/pomelotrail_*"), *ROOT.glob("platform/*_*")]
     for each in packages:
         (application / each.name).symlink_to(each)
     libraries = next(Path(sys.prefix).glob("lib/python*/site-packages"))
-    (folder / "target" / "deps").symlink_to(libraries)
+    (target / "deps").symlink_to(libraries)
+    (target / "releases" / "linked").symlink_to(application)
+    (target / "libraries").symlink_to(libraries.parent)
+    interpreter = EXTENSION_SUFFIXES[0].strip(".").removesuffix(".so")
+    (target / "current" / interpreter).write_text(f"linked {libraries.name}\n")
     launcher = application / "launch.py"
     launcher.write_bytes((ROOT / "platform" / "launch.py").read_bytes())
     return launcher
@@ -92,8 +103,12 @@
         super().__init__(role, name, host, folder, prelude)
         self.pipe = LogPipe(self.log)
         self.addresses: list[str] = []
-        # Redirection of the standard streams in the following starts.
-        self.streams = ""
+        # Shell words for the next start: redirected streams, and a limit.
+        self.streams_once = ""
+        self.limit_once = ""
+        self.has_log = True
+        # The size of the log file at the last start.
+        self.log_start = 0
         self._launcher = launcher
         self._on_end = on_end
         self._told: signal.Signals | None = None
@@ -119,6 +134,7 @@
     async def async_start(self) -> None:
         """Start the process as the ``run`` line does."""
         self._told = None
+        self.log_start = self.log.stat().st_size
         launcher = [str(self._launcher)]
         if self._prelude:
             code = _PRELUDE.format(root=str(ROOT), prelude=self._prelude)
@@ -128,7 +144,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 "sh",
                 "-c",
-                f'exec "$@" {self.streams}',
+                f'{self.limit_once}\nexec "$@" {self.streams_once}',
                 "sh",
                 sys.executable,
                 *_ISOLATED,
@@ -142,6 +158,8 @@
             )
         finally:
             os.close(log)
+        self.has_log = not self.streams_once
+        self.streams_once = self.limit_once = ""
         self._watch = asyncio.create_task(self._async_watch(self._process))
 
     async def async_stop(
@@ -169,10 +187,21 @@
         if self.is_running and (number is not signal.SIGHUP or self.has_begun):
             self.send_signal(number)
 
+    def limit_descriptors(self, count: int) -> None:
+        """Set the number of descriptors that a running process may have open."""
+        if not self.is_running:
+            return
+        try:
+            most = resource.prlimit(self.pid, resource.RLIMIT_NOFILE)[1]
+            resource.prlimit(self.pid, resource.RLIMIT_NOFILE, (count, most))
+        except ProcessLookupError:
+            # The process has just ended.
+            return
+
     async def _async_watch(self, process: asyncio.subprocess.Process) -> None:
         """Report the end of the process."""
         code = await process.wait()
         self.pipe.read()
-        lines = self.log.read_text(errors="replace").splitlines()
-        last_line = lines[-1] if lines else "no line"
+        lines = self.log.read_bytes()[self.log_start :].decode(errors="replace")
+        last_line = ([""] + lines.splitlines())[-1] or "no line"
         self._on_end(self, ProcessEnd(code, self._told, self._had_begun, last_line))
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,8 +21,10 @@
 )
 from .endpoints import RequestResult
 from .faults import FaultInjector
-from .fleet import BackendVM, SoakFleet
+from .fleet import SoakFleet
+from .process_checks import ProcessChecker
 from .schedule import Fault, get_other_service
+from .vms import BackendVM
 
 _REQUEST_INTERVAL_S = 0.15
 _CHECK_INTERVAL_S = 0.2
@@ -51,6 +53,7 @@
         self._faults = faults
         self._injector = FaultInjector(fleet)
         self._checker = InvariantChecker(fleet)
+        self._process_checker = ProcessChecker(fleet)
         self._is_finished = False
         self._must_serve = False
 
@@ -64,6 +67,8 @@
             for index in range(CALLERS_PER_SERVICE)
         ]
         tasks.append(asyncio.create_task(self._async_check_periodically()))
+        probes = self._process_checker.async_probe_regularly()
+        tasks.append(asyncio.create_task(probes))
         await self._injector.async_inject(self._faults)
         await self._async_check_after_faults()
         self._is_finished = True
@@ -71,6 +76,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._checker.check_servers()
+        self._checker.violations += await self._process_checker.async_check_stops()
         return SeedResult(
             seed,
             [*self._fleet.bad_ends, *self._checker.violations],
@@ -98,6 +104,7 @@
         await asyncio.sleep(changed + RECOVERY_S - QUIET_PERIOD_S - fleet.now)
         self._must_serve = True
         await asyncio.sleep(_FULL_SERVICE_CHECK_S)
+        self._checker.violations += await self._process_checker.async_check_services()
         self._must_serve = False
         cold = next(x for x in fleet.backend_vms if x.zone != zone and x is not drained)
         fleet.start_server(cold, is_cold=True)
@@ -175,9 +182,10 @@
     processes: int,
     prelude: str,
     folder: Path,
+    launcher: Path | None = None,
 ) -> SeedResult:
     """Run one seed, with logs in a folder."""
-    fleet = SoakFleet(folder, seed, processes, prelude)
+    fleet = SoakFleet(folder, seed, processes, prelude, launcher)
     try:
         await fleet.async_start()
         return await SeedRun(fleet, faults).async_run(seed)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -1,6 +1,8 @@
 """Random schedules of faults, each drawn from a seed."""
 
 import enum
+from collections.abc import Sequence
+from typing import Final
 
 import attrs
 import numpy as np
@@ -37,6 +39,29 @@
     STORE_RESTORED = "store restored"
     ROLL_ALL = "roll all"
     FOREIGN_ENTRY = "foreign entry"
+    LOG_READER_GONE = "log reader gone"
+    LOG_READER_STILL = "log reader still"
+    LOG_UNUSABLE = "log unusable"
+    METRICS_HELD = "metrics held"
+    READINESS_HELD = "readiness held"
+    PACKETS_HELD = "packets held"
+    PEERS_HELD = "peers held"
+    SETTINGS_ABSENT = "settings absent"
+    SETTINGS_HALF = "settings half written"
+    SETTINGS_REPLACED = "settings replaced"
+    EARLY_SIGNALS = "early signals"
+    REPEATED_SIGNALS = "repeated signals"
+    LARGE_ENTRIES = "large entries"
+    FEW_DESCRIPTORS = "few descriptors"
+
+
+_ALL_KINDS: Final = tuple(FaultKind)
+_FIRST_OF_MACHINE: Final = _ALL_KINDS.index(FaultKind.LOG_READER_GONE)
+KINDS: Final = {
+    "all": _ALL_KINDS,
+    "platform": _ALL_KINDS[:_FIRST_OF_MACHINE],
+    "machine": _ALL_KINDS[_FIRST_OF_MACHINE:],
+}
 
 
 @attrs.frozen
@@ -51,11 +76,16 @@
     pick: float
     for_s: float
 
+    def pick_one(self, count: int) -> int:
+        """Return which of several ways of the same fault to take."""
+        return round(self.for_s * 1_000) % count
 
-def draw_schedule(seed: int, seconds: float) -> list[Fault]:
+
+def draw_schedule(
+    seed: int, seconds: float, kinds: Sequence[FaultKind] = _ALL_KINDS
+) -> list[Fault]:
     """Return the faults of a seed; some are repeated, and all may overlap."""
     generator = np.random.default_rng(seed)
-    kinds = list(FaultKind)
     faults = []
     at = 0.5
     while at < seconds:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,20 +7,33 @@
 
 from soak.__main__ import load_recorded_schedules, parse_arguments, summarize
 from soak.run import SeedResult, async_run_seed
-from soak.schedule import Fault, FaultKind, draw_schedule
+from soak.schedule import KINDS, Fault, FaultKind, draw_schedule
 
 _SEED = 7
 _SECONDS = 3.0
 _LINK_CUT_SEED = 2002
 _LINK_CUT_SECONDS = 6.0
+_MACHINE_SEED = 103
+_MACHINE_SECONDS = 5.0
 _PROCESSES = 9
+_JOBS = 2
 
 
-def run_schedule(seed: int, faults: list[Fault], prelude: str = "") -> SeedResult:
-    """Run a schedule with a small fleet."""
-    with tempfile.TemporaryDirectory() as folder:
-        run = async_run_seed(seed, faults, _PROCESSES, prelude, Path(folder))
-        return asyncio.run(run)
+async def async_run_schedules(
+    schedules: dict[int, list[Fault]], prelude: str = ""
+) -> list[SeedResult]:
+    """Run schedules with small fleets, two at a time."""
+    free_jobs = asyncio.Semaphore(_JOBS)
+
+    async def async_run_one(seed: int, faults: list[Fault]) -> SeedResult:
+        """Run one schedule once a job is free."""
+        async with free_jobs:
+            with tempfile.TemporaryDirectory() as folder:
+                return await async_run_seed(
+                    seed, faults, _PROCESSES, prelude, Path(folder)
+                )
+
+    return await asyncio.gather(*(async_run_one(*each) for each in schedules.items()))
 
 
 class ScheduleTest(unittest.TestCase):
@@ -62,16 +75,16 @@
     """Runs with real processes."""
 
     def test_short_soak(self) -> None:
-        """A fixed seed passes."""
-        self.assertEqual(
-            run_schedule(_SEED, draw_schedule(_SEED, _SECONDS)).violations, []
+        """Fixed seeds pass, one with faults of the platform, one of the machine."""
+        platform_faults = draw_schedule(_SEED, _SECONDS, KINDS["platform"])
+        machine_faults = draw_schedule(
+            _MACHINE_SEED, _MACHINE_SECONDS, KINDS["machine"]
         )
+        self._assert_all_pass({_SEED: platform_faults, _MACHINE_SEED: machine_faults})
 
     def test_recorded_schedules(self) -> None:
         """Schedules of earlier failures pass."""
-        for seed, faults in load_recorded_schedules().items():
-            with self.subTest(seed):
-                self.assertEqual(run_schedule(seed, faults).violations, [])
+        self._assert_all_pass(load_recorded_schedules())
 
     def test_broken_variant_is_detected(self) -> None:
         """A broken variant fails; a soak that detects nothing would always pass.
@@ -79,7 +92,15 @@
         The schedule cuts links and kills companions, so likely owners don't answer.
         """
         prelude = "import soak.broken; soak.broken.apply('reset-on-suspicion'); "
-        result = run_schedule(
-            _LINK_CUT_SEED, draw_schedule(_LINK_CUT_SEED, _LINK_CUT_SECONDS), prelude
-        )
+        faults = draw_schedule(_LINK_CUT_SEED, _LINK_CUT_SECONDS, KINDS["platform"])
+        runs = async_run_schedules({_LINK_CUT_SEED: faults}, prelude)
+        (result,) = asyncio.run(runs)
         self.assertTrue(any("reset of living flow" in x for x in result.violations))
+
+    def _assert_all_pass(self, schedules: dict[int, list[Fault]]) -> None:
+        """Run schedules; none of them may break anything."""
+        results = asyncio.run(async_run_schedules(schedules))
+        self.assertEqual(len(results), len(schedules))
+        for result in results:
+            with self.subTest(result.seed):
+                self.assertEqual(result.violations, [])
