--- a/soak/broken.py
+++ b/soak/broken.py
@@ -6,9 +6,12 @@
     apply("ignore-drain")
 """
 
+import asyncio
 from collections.abc import Callable
 from typing import Any, Final
 
+_UNASKED_END_DELAY_S: Final = 1.0
+
 
 def _ignore_drain() -> None:
     """Offer new flows to draining servers, which accept them."""
@@ -78,6 +81,22 @@
     Lookups.look_up = lambda self, packet: None
 
 
+def _end_unasked() -> None:
+    """Let one balancer stop a second after each start, as if it had been told to."""
+    from pomelotrail_core.lean_process import Role
+
+    handle_signals = Role.handle_signals
+
+    def handle_signals_and_stop(self: Any) -> None:
+        """Stop the process later, unless it is another one."""
+        handle_signals(self)
+        if self._log._process == "entry-0":
+            loop = asyncio.get_running_loop()
+            loop.call_later(_UNASKED_END_DELAY_S, self.stop.set)
+
+    Role.handle_signals = handle_signals_and_stop
+
+
 VARIANTS: Final[dict[str, Callable[[], None]]] = {
     "ignore-drain": _ignore_drain,
     "ignore-zones": _ignore_zones,
@@ -85,6 +104,7 @@
     "keep-first-version": _keep_first_version,
     "reset-on-suspicion": _reset_on_suspicion,
     "forget-owners": _forget_owners,
+    "end-unasked": _end_unasked,
 }
 
 
