--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from stand_ins.flows import CallerHost, LoopbackNetwork
+from stand_ins.linked_release import link_release
 from stand_ins.loopback_networks import ClaimedNetwork
 from stand_ins.platform_fleet import async_wait_ready, free_ports, write_settings
 from stand_ins.platform_store import PlatformStore, PublishedRoute, Publisher
@@ -28,7 +29,7 @@
 )
 from .endpoints import SoakCaller, SoakServer
 from .links import CompanionLink, StoreLink
-from .processes import ProcessEnd, SoakProcess, catch_hangups, link_program
+from .processes import ProcessEnd, SoakProcess, catch_hangups
 from .schedule import get_zone
 from .vms import BackendVM, BalancerVM
 
@@ -76,7 +77,7 @@
         self.holders: list[socket.socket] = []
         self.without_metrics: set[str] = set()
         self._servers: list[asyncio.Server] = []
-        self._launcher = launcher or link_program(folder)
+        self._launcher = launcher or link_release(folder / "target")
         self._is_stopping = False
         self._restarts: set[asyncio.Task] = set()
         self._restart_locks: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -6,7 +6,6 @@
 import signal
 import sys
 from collections.abc import Callable
-from importlib.machinery import EXTENSION_SUFFIXES
 from pathlib import Path
 from typing import Final
 
@@ -21,39 +20,17 @@
 _REPEAT_DELAY_S: Final = 0.02
 _ISOLATED: Final = ("-I", "-S")
 _PRELUDE: Final = (
-    "import runpy, sys; application, script, *arguments = sys.argv[1:]; "
-    "sys.path[:0] = [application, application + '/../deps', {root!r}]; {prelude}"
+    "import runpy, sys; release, libraries, script, *arguments = sys.argv[1:]; "
+    "sys.path[:0] = [release, libraries, {root!r}]; {prelude}"
     "sys.argv[:] = [script, *arguments]; "
     "runpy.run_path(script, run_name='__main__')"
 )
+_RELEASE_FOLDERS: Final = ("releases", "libraries")
 # Where the standard streams of a process lead, as words of a shell.
 LOG_FULL: Final = ">/dev/full 2>&1"
 LOG_CLOSED: Final = ">&- 2>&-"
 
 
-def link_program(folder: Path) -> Path:
-    """Link the checkout in the layout of a build and return ``launch.py`` there.
-
-    Builds of a folder for the program and of releases for each interpreter are served.
-    """
-    target = folder / "target"
-    application = target / "app"
-    for each in (application, target / "current", target / "releases"):
-        each.mkdir(parents=True)
-    packages = [*ROOT.glob("packages/*/pomelotrail_*"), *ROOT.glob("platform/*_*")]
-    for each in packages:
-        (application / each.name).symlink_to(each)
-    libraries = next(Path(sys.prefix).glob("lib/python*/site-packages"))
-    (target / "deps").symlink_to(libraries)
-    (target / "releases" / "linked").symlink_to(application)
-    (target / "libraries").symlink_to(libraries.parent)
-    interpreter = EXTENSION_SUFFIXES[0].strip(".").removesuffix(".so")
-    (target / "current" / interpreter).write_text(f"linked {libraries.name}\n")
-    launcher = application / "launch.py"
-    launcher.write_bytes((ROOT / "platform" / "launch.py").read_bytes())
-    return launcher
-
-
 def catch_hangups() -> None:
     """Keep an ignored SIGHUP, as under nohup, from being inherited as ignored."""
     if signal.getsignal(signal.SIGHUP) is signal.SIG_IGN:
@@ -138,7 +115,9 @@
         launcher = [str(self._launcher)]
         if self._prelude:
             code = _PRELUDE.format(root=str(ROOT), prelude=self._prelude)
-            launcher = ["-c", code, str(self._launcher.parent), *launcher]
+            target = self._launcher.parents[1]
+            folders = [next(target.glob(f"{kind}/*")) for kind in _RELEASE_FOLDERS]
+            launcher = ["-c", code, *map(str, folders), *launcher]
         log = self.pipe.open_writer()
         try:
             self._process = await asyncio.create_subprocess_exec(
