--- a/packages/pomelotrail-core/pomelotrail_core/event_log/writers.py
+++ b/packages/pomelotrail-core/pomelotrail_core/event_log/writers.py
@@ -81,10 +81,14 @@
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
 
+    def is_writable(self) -> bool:
+        """Return whether a write would not block, or would fail."""
+        return bool(self._poll.poll(0))
+
     def write(self, lines: bytes) -> int:
         """Write one part after another while there is room."""
         written = 0
-        while written < len(lines) and self._poll.poll(0):
+        while written < len(lines) and self.is_writable():
             part = lines[written : written + select.PIPE_BUF]
             try:
                 written += os.write(self._descriptor, part)
--- a/packages/pomelotrail-core/pomelotrail_core/standard_streams.py
+++ b/packages/pomelotrail-core/pomelotrail_core/standard_streams.py
@@ -7,14 +7,13 @@
 import contextlib
 import io
 import os
-import select
 import sys
 from collections.abc import Callable
 from typing import Final
 
+from pomelotrail_core.event_log import PolledWriter
+
 _STANDARD_STREAMS: Final = (("stdin", "r"), ("stdout", "w"), ("stderr", "w"))
-# A pipe that is ready for writing accepts this much without blocking.
-_BYTES_PER_WRITE: Final = select.PIPE_BUF
 
 
 def replace_closed_streams() -> None:
@@ -57,11 +56,9 @@
     def __init__(self, descriptor: int, report_lost: Callable[[int], None]) -> None:
         """Write to a descriptor, which stays open."""
         super().__init__()
-        self._descriptor = descriptor
+        self._writer = PolledWriter(descriptor)
         self._report_lost = report_lost
         self._lost = 0
-        self._poll = select.poll()
-        self._poll.register(descriptor, select.POLLOUT)
 
     @property
     def lost(self) -> int:
@@ -70,7 +67,7 @@
 
     def write(self, text: str) -> int:
         """Write a text, or count it as lost."""
-        if self._lost and self._is_writable():
+        if self._lost and self._writer.is_writable():
             lost, self._lost = self._lost, 0
             self._report_lost(lost)
         data = text.encode(errors="backslashreplace")
@@ -79,22 +76,9 @@
         return len(text)
 
     def _write_data(self, data: bytes) -> bool:
-        """Write in pieces that can't block; return whether everything was written."""
-        while data:
-            if not self._is_writable():
-                return False
-            try:
-                written = os.write(self._descriptor, data[:_BYTES_PER_WRITE])
-            except OSError:
-                # The reader is gone or the device is full.
-                return False
-            data = data[written:]
-        return True
-
-    def _is_writable(self) -> bool:
-        """Return whether a write would not block now."""
+        """Return whether everything was written."""
         try:
-            events = self._poll.poll(0)
+            return self._writer.write(data) == len(data)
         except OSError:
+            # The reader is gone or the device is full.
             return False
-        return any(event & select.POLLOUT for _, event in events)
