Lookups: one that fails affects no other

A lookup that fails is logged, counted and dropped; its caller's next packet starts it anew. test_failing_lookup_affects_no_other failed before (ValueError out of the round).

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -275,6 +275,10 @@
             started_ms=self.started_ms.get(host, 0),
         )
 
+    def balancer(self) -> FlowBalancer:
+        """Return the balancer that receives callers' packets."""
+        return self._balancers[self._current_balancer]
+
     def directory(self) -> Directory:
         """Return the directory of the balancer that receives callers' packets."""
         return self._directories[self._current_balancer]
--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -18,7 +18,7 @@
     ServerItem,
 )
 from pomelotrail_core.endpoint import pack_address
-from stand_ins.flows import StandInCaller
+from stand_ins.flows import StandInCaller, make_packet
 
 
 def listing_without(fleet: FlowFleet, host: str) -> Listing:
@@ -97,6 +97,47 @@
         run_in_virtual_time(async_run())
 
 
+class FailingLookupTest(unittest.TestCase):
+    """A lookup that raises an error."""
+
+    def test_failing_lookup_affects_no_other(self) -> None:
+        """Guards against flows that are never found beside a lookup that fails."""
+
+        async def async_run() -> None:
+            """Look up two flows, of which the first one fails."""
+            fleet = FlowFleet(servers=3)
+            callers = [fleet.caller() for _ in range(2)]
+            for caller in callers:
+                await caller.async_open_and_request(b"one")
+            fleet.start_balancer("192.0.2.200")
+            lookups = fleet.balancer()._lookups
+            failing = caller_flow(callers[0])
+            continue_lookup = lookups._continue_lookup
+            continued: list[bytes] = []
+
+            def fail_first(lookup, *arguments) -> None:  # noqa: ANN001, ANN002
+                """Fail for the first flow."""
+                continued.append(lookup.flow)
+                if lookup.flow == failing:
+                    raise ValueError("no such companion")
+                continue_lookup(lookup, *arguments)
+
+            lookups._continue_lookup = fail_first
+            for caller in callers:
+                sender = caller.packed_address
+                lookups.look_up(
+                    make_packet(sender, pack_address(SERVICE_ADDRESS), 1, 1)
+                )
+            for lookup in lookups._pending.values():
+                lookup.due = fleet.clock.monotonic()
+            lookups._continue_lookups(fleet.clock.monotonic())
+            self.assertEqual(len(continued), 2)
+            self.assertNotIn(failing, lookups._pending)
+            self.assertEqual(fleet.counters.value("lookups_failed"), 1)
+
+        run_in_virtual_time(async_run())
+
+
 class LookupCostTest(unittest.TestCase):
     """Message counts and timing of lookups."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -223,12 +223,24 @@
         """Continue all lookups that are due and drop idle ones."""
         possible_owners = self._companions.possible_owners()
         for lookup in list(self._pending.values()):
-            if now - lookup.last_packet_at >= LOOKUP_IDLE_TIMEOUT:
-                self._abandon(lookup, now)
-            elif lookup.due <= now:
-                self._continue_lookup(lookup, possible_owners, now)
+            try:
+                if now - lookup.last_packet_at >= LOOKUP_IDLE_TIMEOUT:
+                    self._abandon(lookup, now)
+                elif lookup.due <= now:
+                    self._continue_lookup(lookup, possible_owners, now)
+            except Exception as error:  # noqa: BLE001
+                self._drop_failed(lookup, error)
         self._budget.spend(self._queries.send())
 
+    def _drop_failed(self, lookup: FlowLookup, error: Exception) -> None:
+        """Drop a lookup that failed; the caller's next packet starts it anew."""
+        self._pending.pop(lookup.flow, None)
+        self._counters.add("lookups_failed")
+        problem = repr(error)
+        self._log.write(
+            _PART, "lookup_failed", flow=flow_text(lookup.flow), problem=problem
+        )
+
     def _continue_lookup(
         self,
         lookup: FlowLookup,
