HTTP: a module that can't be read isn't tried ten times a second

A review cut off the compiled module that serves connections: each probe reopened the listening socket, which reset the backoff and wrote two lines, 20 a second. Only errors of the socket itself close it now; for others it is kept and the delay doubles. test_module_that_is_cut_off failed before (the address was closed meanwhile).

--- a/packages/pomelotrail-core/pomelotrail_core/http_service/service.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_service/service.py
@@ -199,6 +199,4 @@
 
 def _is_temporary(error: Exception) -> bool:
     """Return whether the listening socket works again when resources are free."""
-    if isinstance(error, ImportError | MemoryError):
-        return True
-    return isinstance(error, OSError) and error.errno in TEMPORARY_ACCEPT_ERRORS
+    return not isinstance(error, OSError) or error.errno in TEMPORARY_ACCEPT_ERRORS
--- a/packages/pomelotrail-core/pomelotrail_core/http_service/tests/test_service.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_service/tests/test_service.py
@@ -107,6 +107,16 @@
         self.assertEqual(await request, 200)
         self.assertEqual(self.logged.events(), ["listen_failed", "listening"])
 
+    async def test_module_that_is_cut_off(self) -> None:
+        """Guards against a log that fills while a module can't be read."""
+        sys.modules.pop(_CONNECTION_MODULE, None)
+        with mock.patch("builtins.__import__", side_effect=EOFError):
+            request = asyncio.create_task(self.async_get("ready"))
+            await self.async_wait_event("listen_failed")
+        self.assertEqual(await request, 200)
+        self.assertEqual(self.logged.events(), ["listen_failed", "listening"])
+        self.assertEqual(self.logged.service.port, self.port)
+
     async def test_accepting_is_tried_again(self) -> None:
         """Guards against a service that doesn't recover from used up descriptors."""
         error = OSError(errno.EMFILE, "Too many open files")
