Processes: tasks end when cancelled and run again without memory for a line

A task whose cleanup fails when it is cancelled was started again, and the end of the process waited for it with its signals blocked.

--- a/packages/pomelotrail-core/pomelotrail_core/lean_process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/lean_process.py
@@ -84,18 +84,21 @@
             try:
                 await work()
                 return
-            except Exception as error:  # noqa: BLE001
-                problem: BaseException = error
-            except asyncio.CancelledError as error:
+            except (Exception, asyncio.CancelledError) as error:
+                # A cancellation may also be that of something that the task awaited.
                 if asyncio.current_task().cancelling():
                     raise
-                # Something that the task awaited was cancelled, not the task.
                 problem = error
             finally:
                 is_recovered = recovery.done()
                 recovery.cancel()
             attempt = 1 if is_recovered else attempt + 1
-            await self._clock.async_sleep(self._record_failure(name, problem, attempt))
+            try:
+                delay = self._record_failure(name, problem, attempt)
+            except MemoryError:
+                # The counter tells.
+                delay = MAX_RESTART_DELAY
+            await self._clock.async_sleep(delay)
 
     def _record_failure(
         self, name: str, problem: BaseException, attempt: int
--- a/packages/pomelotrail-core/pomelotrail_core/tests/test_lean_process.py
+++ b/packages/pomelotrail-core/pomelotrail_core/tests/test_lean_process.py
@@ -10,6 +10,7 @@
 import sys
 import unittest
 from datetime import timedelta
+from unittest import mock
 
 from harness.fake_clock import FakeClock
 from harness.flow_fleet import MemoryLogWriter
@@ -117,6 +118,38 @@
         await self.clock.async_advance(timedelta(seconds=1))
         self.assertGreater(len(runs), 1)
 
+    async def test_cancelled_task_whose_cleanup_fails(self) -> None:
+        """Guards against a stop that waits for a task which starts again."""
+
+        async def async_fail_when_cancelled() -> None:
+            """Fail in the cleanup."""
+            try:
+                await self.clock.async_sleep(timedelta(days=1))
+            finally:
+                raise ValueError
+
+        self.role.run("sweep", async_fail_when_cancelled)
+        await self.clock.async_advance(timedelta(seconds=1))
+        (task,) = self.role._tasks
+        task.cancel()
+        await self.clock.async_advance(timedelta(seconds=1))
+        self.assertTrue(task.done())
+        self.assertIsInstance(task.exception(), ValueError)
+
+    async def test_failure_that_cannot_be_logged(self) -> None:
+        """Guards against a task that ends for good without memory for its line."""
+        runs: list[str] = []
+
+        async def async_fail() -> None:
+            """Fail at once."""
+            runs.append("run")
+            raise ValueError
+
+        with mock.patch.object(self.log, "write", side_effect=MemoryError):
+            self.role.run("directory", async_fail)
+            await self.clock.async_advance(2 * MAX_RESTART_DELAY)
+        self.assertGreater(len(runs), 1)
+
     async def test_task_that_is_done(self) -> None:
         """It isn't started again."""
         runs: list[str] = []
