Build: a compiled module that is cut off makes another release

A review cut off a compiled module that is imported late: the build accepted the release again, and processes were never ready. Compiled modules are read at each build; a folder with one that can't be read is replaced by another. test_module_that_is_cut_off failed before (1 release instead of 2).

--- a/deploy/folders.py
+++ b/deploy/folders.py
@@ -1,6 +1,7 @@
 """Folders that are complete from the moment they are visible, and never change."""
 
 import hashlib
+import marshal
 import os
 import shutil
 import sys
@@ -15,6 +16,7 @@
 from .const import (
     BUILD_TIME_LIMIT,
     COMPILED_FOLDER,
+    COMPILED_HEADER_BYTES,
     CONTENTS_FILE,
     DIGEST_WIDTH,
     KEY_LENGTH,
@@ -147,6 +149,8 @@
         contents = (folder / CONTENTS_FILE).read_text()
         files = [folder / line[DIGEST_WIDTH:] for line in contents.splitlines()]
         is_intact = digest_files(folder, files) == contents
-    except (OSError, UnicodeDecodeError) as error:
+        for path in folder.rglob(f"{COMPILED_FOLDER}/*.pyc"):
+            marshal.loads(path.read_bytes()[COMPILED_HEADER_BYTES:])
+    except (OSError, ValueError, EOFError, TypeError) as error:
         return str(error)
     return "" if is_intact else "files have changed"
--- a/deploy/tests/test_build.py
+++ b/deploy/tests/test_build.py
@@ -189,6 +189,15 @@
         for folder in ("releases", "libraries"):
             self.assertEqual(len(list((checkout.target / folder).iterdir())), 1)
 
+    def test_module_that_is_cut_off(self) -> None:
+        """Guards against a process whose later import fails for a cut off copy."""
+        checkout = self.factory.make_built()
+        compiled = next(checkout.target.glob("releases/*/*/endpoint*.pyc"), None)
+        compiled = compiled or next(checkout.target.rglob("http_service/**/conn*.pyc"))
+        compiled.write_bytes(compiled.read_bytes()[:100])
+        checkout.build()
+        self.assertEqual(len(list((checkout.target / "releases").iterdir())), 2)
+
     def test_copy_without_modification_times(self) -> None:
         """Guards against modules that are compiled again after a copy of the tree."""
         checkout = self.factory.make_built()
