--- a/soak/processes.py
+++ b/soak/processes.py
@@ -133,7 +133,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "POMELOTRAIL_NODE_FILE": str(self.settings)},
+                env={**os.environ, **self.settings_environment},
             )
         finally:
             os.close(log)
--- a/stand_ins/platform_fleet.py
+++ b/stand_ins/platform_fleet.py
@@ -142,6 +142,11 @@
         self._role = role
         self._process: asyncio.subprocess.Process | None = None
 
+    @property
+    def settings_environment(self) -> dict[str, str]:
+        """Return the variable that names the settings file."""
+        return {"POMELOTRAIL_NODE_FILE": str(self.settings)}
+
     async def async_start(self) -> None:
         """Start the process."""
         paths = [ROOT, ROOT / "platform", *sorted((ROOT / "packages").iterdir())]
@@ -161,7 +166,7 @@
                 env={
                     **os.environ,
                     "PYTHONPATH": os.pathsep.join(map(str, paths)),
-                    "POMELOTRAIL_NODE_FILE": str(self.settings),
+                    **self.settings_environment,
                 },
             )
 
