Messages: offers tell the opening's age, replies the learnt concurrency and the wait

Cause: decisions on new flows under load need the caller's wait so far, the route's timeout, what a server takes well, and the wait at its companion; none of them passes between the processes yet.

Change: fields at the end of Offer, OfferReply and Pong, with defaults, so that earlier versions read and are read.

--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -48,7 +48,9 @@
     ``era`` is that of the store which the balancer last read; 0 if unknown.
     ``reserved`` keeps the place of a number that earlier versions expect.
     ``start_per_s`` is the rate of ``cold_per_s`` for a server that the balancer takes
-    for warm, in case that it has started again; None if operators set none.
+    for warm, in case that it has started again; None if operators set none. ``age_ms``
+    is how long the caller has waited since it first sent the opening packet, and
+    ``timeout_ms`` the request timeout set by operators; 0 if they set none.
     """
 
     number: int
@@ -63,6 +65,8 @@
     era: _Era = 0
     reserved: int = 0
     start_per_s: _Rate | None = None
+    age_ms: _DurationMs = 0
+    timeout_ms: _DurationMs = 0
 
 
 class OfferReply(_Message, tag=2):
@@ -71,6 +75,9 @@
     ``occupancy`` counts requests in progress and flows about to send their first one,
     plus an extra weight for unanswered requests; ``flows`` counts all open flows.
     ``work_ms`` is the observed processing time of a request; 0 if none was observed.
+    ``concurrency`` is the learnt number of concurrent requests beyond which the server
+    answers later rather than more; 0 if it hasn't been learnt. ``wait_ms`` is the
+    expected time until a slot is free for a flow like the offered one.
     """
 
     number: int
@@ -78,6 +85,8 @@
     occupancy: int
     flows: int
     work_ms: float = 0.0
+    concurrency: int = 0
+    wait_ms: float = 0.0
 
 
 class Owner(_Message, tag=3):
@@ -169,6 +178,7 @@
     occupancy: int
     flows: int
     work_ms: float = 0.0
+    concurrency: int = 0
 
 
 FleetMessage = (
