Openings are admitted by the expected wait where servers run one request at a time

Cause: after an outage, or in a burst, each server's queue filled up to a limit by count with requests that were late for good. New ones, which could have been on time, were declined because of them, after up to 14 offers each; urgent openings found no room behind ordinary ones.

Change: an offer tells how long its caller has waited and may wait. The companion accepts a flow whose target fits behind the requests that can still meet theirs, of the same or a higher priority; a late one if it fits behind all, in the time that requests on time leave. Admitted requests run by deadline. Balancers offer to the shortest reported wait, to three at most of each kind, then refuse. Only for services whose servers all have one slot.

Checks: test_full_servers_refuse_at_once keeps its equation on servers of two slots; on one slot test_opening_wait has the equation of the wait (the flow that finds 1.6 s of work before it is the last). test_urgent_flows_in_a_burst and the latter fail on the policy before, the other new tests of the fleet pass on it.

--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -17,7 +17,7 @@
 
 from harness.virtual_time import VirtualClock
 from pomelotrail_balancer.flow_balancing import FlowBalancer
-from pomelotrail_balancer.placement import Companions, ShortestQueue
+from pomelotrail_balancer.placement import Companions, PlacementBySlots
 from pomelotrail_companion.server_proxy import ServerProxy, ServerProxyAddresses
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address
@@ -172,7 +172,7 @@
             directory,
             check,
             companions,
-            ShortestQueue("zone-1", random.Random(1)),
+            PlacementBySlots("zone-1", random.Random(1)),
             CODEC,
             self.clock,
             self.log,
--- a/harness/tests/test_flow_admission.py
+++ b/harness/tests/test_flow_admission.py
@@ -28,13 +28,13 @@
 
         async def async_run() -> None:
             """Open far more flows at once than there is capacity for."""
-            fleet = FlowFleet(servers=2, slots=1)
+            fleet = FlowFleet(servers=2, slots=2)
             for server in fleet.servers.values():
                 server.work_s = 5.0
-            callers = [fleet.caller() for _ in range(60)]
+            callers = [fleet.caller() for _ in range(120)]
             opened = await asyncio.gather(*(each.async_open() for each in callers))
             wait = ROUTE_TIMEOUT * MAX_WAIT_SHARE
-            self.assertEqual(sum(opened), 2 * (wait // INITIAL_WORK_ESTIMATE))
+            self.assertEqual(sum(opened), 4 * (wait // INITIAL_WORK_ESTIMATE))
             self.assertTrue(
                 all(caller.opening_retransmissions == 0 for caller in callers)
             )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
@@ -27,6 +27,8 @@
 MAX_OPENING_WAIT: Final = timedelta(milliseconds=200)
 # The first retransmission of an opening packet follows after 200 ms.
 MIN_RETRANSMISSION_INTERVAL: Final = timedelta(milliseconds=150)
+# Callers retransmit an opening packet so long after they first sent it.
+RETRANSMISSION_TIMES: Final = (timedelta(milliseconds=200), timedelta(milliseconds=600))
 # Companions reply within a few milliseconds; then all others are queried.
 LOOKUP_STAGE_TIMEOUT: Final = timedelta(milliseconds=15)
 # Limit for the second stage of lookups: a query, its reply and their handling take
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -3,6 +3,7 @@
 import asyncio
 import zlib
 from collections.abc import Callable
+from datetime import timedelta
 
 from pomelotrail_balancer.placement import (
     Choice,
@@ -16,11 +17,13 @@
 from pomelotrail_core.directory import Directory, Route
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import Packet, flow_text
-from pomelotrail_core.offers import Outcome
+from pomelotrail_core.offers import LOWEST_COUNTED_PRIORITY, Outcome
 
 from .const import (
     MAX_OFFERS,
+    MILLISECOND,
     MIN_RETRANSMISSION_INTERVAL,
+    RETRANSMISSION_TIMES,
 )
 from .flow_table import FlowRecord
 from .offer_exchange import OfferExchange
@@ -102,14 +105,10 @@
             )
             if outcome is Outcome.ACCEPTED:
                 return
-            if choice.companion in context.declined:
-                context.full.append(choice.companion)
-            context.declined.append(choice.companion)
-            if choice.limit > choice.companion.server.slots:
-                context.full.append(choice.companion)
+            context.record_decline(choice)
             outcomes.append(_format_outcome(choice, outcome))
         if not record.accepted_by:
-            self._refuse(packet, service, outcomes)
+            self._refuse(packet, service, route, outcomes)
 
     def _build_context(
         self, service: str, route: Route, packet: Packet, record: FlowRecord
@@ -131,9 +130,13 @@
             usable,
             alternatives,
             max_wait=route.timeout * MAX_WAIT_SHARE,
+            target=route.target_latency,
+            first_sent=self._clock.monotonic() - _time_until(packet),
         )
 
-    def _refuse(self, packet: Packet, service: str, outcomes: list[str]) -> None:
+    def _refuse(
+        self, packet: Packet, service: str, route: Route, outcomes: list[str]
+    ) -> None:
         """Refuse a flow that no companion accepted; none of its requests has run.
 
         A companion that did not reply may nevertheless have accepted the flow. Then
@@ -145,10 +148,13 @@
             "refused" if is_certain else "unanswered",
             flow=flow_text(packet.caller_flow),
             service=service,
+            priority=route.priority,
             outcomes=outcomes,
             **self._directory.log_fields,
         )
         if is_certain:
+            priority = min(route.priority, LOWEST_COUNTED_PRIORITY)
+            self._counters.add(f"flows_refused_priority_{priority}")
             self._reset(packet, "nobody_takes_it")
 
 
@@ -165,7 +171,18 @@
     return route.shares[-1].service
 
 
+def _time_until(packet: Packet) -> timedelta:
+    """Return the time from the first transmission of an opening packet to this one."""
+    count = min(packet.retransmission_count, len(RETRANSMISSION_TIMES))
+    return RETRANSMISSION_TIMES[count - 1] if count else timedelta()
+
+
 def _format_outcome(choice: Choice, outcome: Outcome | None) -> str:
     """Return the server that declined and the reason, for the log."""
     name = outcome.name.lower() if outcome is not None else _NO_REPLY
-    return f"{choice.companion.server.identity} {name} at limit {choice.limit}"
+    identity = choice.companion.server.identity
+    if choice.max_wait is None:
+        return f"{identity} {name} at limit {choice.limit}"
+    if choice.max_wait:
+        return f"{identity} {name} within {choice.max_wait // MILLISECOND} ms"
+    return f"{identity} {name} on time"
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/load_reports.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/load_reports.py
@@ -1,5 +1,7 @@
 """Load reports of companions, and which of them are believed."""
 
+from datetime import timedelta
+
 from pomelotrail_balancer.placement import CompanionView, is_plausible_report
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
@@ -24,9 +26,14 @@
     def record(self, companion: CompanionView, reply: OfferReply | Pong) -> None:
         """Record the report in a reply; the companion is no longer a suspect."""
         companion.is_suspect = False
-        if is_plausible_report(reply.occupancy, reply.flows, reply.work_ms):
+        wait_ms = reply.wait_ms if isinstance(reply, OfferReply) else None
+        if is_plausible_report(
+            reply.occupancy, reply.flows, reply.work_ms, wait_ms or 0.0
+        ):
             now = self._clock.monotonic()
             companion.record_report(reply.occupancy, reply.flows, now, reply.work_ms)
+            if wait_ms is not None:
+                companion.record_wait(timedelta(milliseconds=wait_ms), now)
             return
         self._counters.add("reports_implausible")
         identity = companion.server.identity
@@ -39,4 +46,5 @@
                 occupancy=reply.occupancy,
                 flows=reply.flows,
                 work_ms=reply.work_ms,
+                wait_ms=wait_ms or 0.0,
             )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
@@ -179,6 +179,8 @@
             unsettled_ms=self._directory.missing_entry_grace_remaining // MILLISECOND,
             era=self._directory.revision.era,
             start_per_s=self._directory.start_flows_per_s(companion.server.service),
+            age_ms=_milliseconds(choice.age),
+            max_wait_ms=_milliseconds(choice.max_wait),
         )
         self._send(encode(offer), companion.fleet_address)
 
@@ -200,6 +202,7 @@
             report_age_ms=round(age, 1),
             limit=choice.limit,
             version=self._directory.version,
+            **_wait_fields(choice),
         )
 
     def _record_acceptance(self, record: FlowRecord, companion: CompanionView) -> None:
@@ -220,3 +223,18 @@
         if not companion.is_suspect:
             self._log.write("companions", "suspected", server=companion.server.identity)
         companion.is_suspect = True
+
+
+def _milliseconds(duration: timedelta | None) -> int | None:
+    """Return a duration in whole milliseconds, as offers contain it."""
+    return duration // MILLISECOND if duration is not None else None
+
+
+def _wait_fields(choice: Choice) -> dict[str, int | None]:
+    """Return the fields of the log line of an offer that the wait decides."""
+    if choice.age is None:
+        return {}
+    return {
+        "age_ms": _milliseconds(choice.age),
+        "max_wait_ms": _milliseconds(choice.max_wait),
+    }
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/__init__.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/__init__.py
@@ -1,5 +1,6 @@
 """Selection of the companion that is offered a new flow."""
 
+from .by_slots import PlacementBySlots
 from .companion_view import CompanionView, is_plausible_report
 from .companions import Companions
 from .policy import Choice, PlacementContext, PlacementPolicy, ShortestQueue
@@ -8,6 +9,7 @@
     "Choice",
     "CompanionView",
     "Companions",
+    "PlacementBySlots",
     "PlacementPolicy",
     "ShortestQueue",
     "PlacementContext",
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -9,6 +9,7 @@
 from .const import (
     INITIAL_WORK_ESTIMATE,
     MAX_REPORTED_REQUESTS,
+    MAX_REPORTED_WAIT,
     MAX_REPORTED_WORK,
     OPEN_FLOW_LOAD,
 )
@@ -22,8 +23,9 @@
     """A companion with the load that it last reported.
 
     ``offered_flows`` counts the flows offered since that report. ``work`` is the
-    processing time of a request that the companion observed. Until ``unsure_until``,
-    the companion probably doesn't know all flows of its server.
+    processing time of a request that the companion observed. ``wait`` is the time that
+    a flow which can meet its target waited for a slot at ``wait_reported_at``. Until
+    ``unsure_until``, the companion probably doesn't know all flows of its server.
     """
 
     server: BackendServer
@@ -37,6 +39,8 @@
     offered_flows: int = 0
     reported_at: timedelta | None = None
     work: timedelta = INITIAL_WORK_ESTIMATE
+    wait: timedelta = timedelta()
+    wait_reported_at: timedelta | None = None
     is_suspect: bool = False
     unsure_until: timedelta = timedelta()
 
@@ -64,15 +68,30 @@
         completed = (now - self.reported_at) / self.work * self.slots
         return self.offered_flows + max(0.0, self.occupancy - completed)
 
+    def record_wait(self, wait: timedelta, now: timedelta) -> None:
+        """Record the wait that the companion reported."""
+        self.wait = wait
+        self.wait_reported_at = now
+
+    def expected_wait(self, now: timedelta) -> timedelta:
+        """Return the expected wait for a slot of a flow that can meet its target."""
+        if self.wait_reported_at is None:
+            return self.estimated_requests(now) * self.work / self.slots
+        since = self.offered_flows * self.work / self.slots
+        return since + max(timedelta(), self.wait - (now - self.wait_reported_at))
+
     def load(self, now: timedelta) -> float:
         """Return the estimated load per slot, including open flows."""
         return (self.estimated_requests(now) + self.flows * OPEN_FLOW_LOAD) / self.slots
 
 
-def is_plausible_report(occupancy: int, flows: int, work_ms: float) -> bool:
+def is_plausible_report(
+    occupancy: int, flows: int, work_ms: float, wait_ms: float = 0.0
+) -> bool:
     """Return whether a load report may be believed."""
     return (
-        0 <= occupancy <= MAX_REPORTED_REQUESTS
+        0 <= wait_ms <= MAX_REPORTED_WAIT / _MILLISECOND
+        and 0 <= occupancy <= MAX_REPORTED_REQUESTS
         and 0 <= flows <= MAX_REPORTED_REQUESTS
         and 0 <= work_ms <= MAX_REPORTED_WORK / _MILLISECOND
     )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -10,6 +10,7 @@
 from .companion_view import CompanionView
 from .const import (
     DEFAULT_MAX_WAIT,
+    DEFAULT_TARGET,
     MAX_OTHERS_DECLINED,
     MAX_REQUESTS_PER_SLOT,
     OTHER_ZONE_LOAD,
@@ -17,11 +18,17 @@
 
 
 class Choice(msgspec.Struct, frozen=True):
-    """A companion and the request limit under which it may accept the flow."""
+    """A companion and the request limit under which it may accept the flow.
+
+    With ``max_wait``, the companion decides by the expected wait instead, and ``age``
+    is how long the caller has waited.
+    """
 
     companion: CompanionView
     limit: int
     load: float
+    age: timedelta | None = None
+    max_wait: timedelta | None = None
 
 
 class PlacementContext(msgspec.Struct):
@@ -30,7 +37,9 @@
     ``preferred`` is a subset of ``candidates``, the companions of the service that was
     selected by weight; ``alternatives`` are those of the other services of the route.
     Companions in ``declined`` had no free slot or did not reply; those in ``full`` also
-    declined to queue the flow. ``max_wait`` is how long the flow may wait in a queue.
+    declined to queue the flow, and those in ``declined_on_time`` can't answer it within
+    its target. ``max_wait`` is how long the flow may wait in a queue; ``first_sent`` is
+    when the caller first sent its opening packet, by the clock of this process.
     """
 
     preferred: Sequence[CompanionView]
@@ -38,7 +47,15 @@
     alternatives: Sequence[CompanionView] = ()
     declined: list[CompanionView] = msgspec.field(default_factory=list)
     full: list[CompanionView] = msgspec.field(default_factory=list)
+    declined_on_time: list[CompanionView] = msgspec.field(default_factory=list)
     max_wait: timedelta = DEFAULT_MAX_WAIT
+    target: timedelta = DEFAULT_TARGET
+    first_sent: timedelta = timedelta()
+
+    @property
+    def has_single_slots(self) -> bool:
+        """Return whether every server of the service runs one request at a time."""
+        return all(each.slots == 1 for each in self.candidates)
 
     @property
     def others_declined(self) -> int:
@@ -51,6 +68,22 @@
         """Return the number of companions of other services that declined."""
         return sum(each in self.alternatives for each in self.declined)
 
+    def age(self, now: timedelta) -> timedelta:
+        """Return how long the caller has waited."""
+        return max(timedelta(), now - self.first_sent)
+
+    def record_decline(self, choice: Choice) -> None:
+        """Record that a companion declined the flow or didn't reply."""
+        companion = choice.companion
+        if choice.max_wait is not None:
+            is_late = choice.max_wait > timedelta()
+            (self.full if is_late else self.declined_on_time).append(companion)
+        elif companion in self.declined:
+            self.full.append(companion)
+        self.declined.append(companion)
+        if choice.limit > companion.server.slots:
+            self.full.append(companion)
+
 
 class PlacementPolicy(abc.ABC):
     """Selects companions for a new flow, based on earlier replies."""
@@ -98,7 +131,7 @@
         allowed = [*context.candidates, *context.alternatives]
         queueable = [each for each in allowed if each not in context.full]
         if queues := [each for each in queueable if not each.is_suspect]:
-            return self._choose_shortest_queue(queues, context.max_wait, now)
+            return self._choose_queue(queues, context, now)
         suspects = [each for each in queueable if each not in context.declined]
         return self._choose_least_loaded(suspects, now) if suspects else None
 
@@ -123,17 +156,25 @@
         load, chosen = min(loads, key=lambda pair: pair[0])
         return Choice(chosen, chosen.slots, load)
 
-    def _choose_shortest_queue(
-        self, companions: Sequence[CompanionView], max_wait: timedelta, now: timedelta
-    ) -> Choice:
+    def _choose_queue(
+        self,
+        companions: Sequence[CompanionView],
+        context: PlacementContext,
+        now: timedelta,
+    ) -> Choice | None:
         """Return the companion where a flow waits for the shortest time."""
         waits = [(self._load(each, now) * each.work, each) for each in companions]
         wait, chosen = min(waits, key=lambda pair: pair[0])
-        per_slot = min(max(1, int(max_wait / chosen.work)), MAX_REQUESTS_PER_SLOT)
+        per_slot = max(1, int(context.max_wait / chosen.work))
+        per_slot = min(per_slot, MAX_REQUESTS_PER_SLOT)
         return Choice(chosen, chosen.slots * per_slot, wait / chosen.work)
 
     def _load(self, companion: CompanionView, now: timedelta) -> float:
         """Return the load, including the cost of a hop to another zone."""
-        other = companion.server.zone != self._zone
-        load = companion.load(now) + (OTHER_ZONE_LOAD if other else 0.0)
+        load = companion.load(now) + self._zone_load(companion)
         return load + self._random.random() * 0.01
+
+    def _zone_load(self, companion: CompanionView) -> float:
+        """Return the cost of a hop to the zone of a companion."""
+        is_other = companion.server.zone != self._zone
+        return OTHER_ZONE_LOAD if is_other else 0.0
--- /dev/null
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission by wait."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
@@ -7,6 +7,8 @@
 INITIAL_ESTIMATE: Final = timedelta(milliseconds=60)
 # Averages about the last ten responses.
 ESTIMATE_WEIGHT: Final = 0.1
+# The times of requests are skewed; few exceed the mean by more than two deviations.
+UPPER_BOUND_DEVIATIONS: Final = 2
 # Network round trip between caller and backend server.
 ROUND_TRIP_TIME: Final = timedelta(milliseconds=10)
 # Used for flows from before a restart of this process, whose class is unknown.
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/discipline.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/discipline.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from .const import ROUND_TRIP_TIME
 from .waiting_request import WaitingRequest
 
 
@@ -38,9 +37,33 @@
 
         def rank(request: WaitingRequest) -> tuple[bool, bool, int, timedelta]:
             """Return the sort key of a request."""
-            slack = request.target - (now - request.queued) - work - ROUND_TRIP_TIME
-            is_late = slack < timedelta()
+            is_late = request.slack(now, work) < timedelta()
             order = request.queued if is_late else -request.queued
             return (request.is_abandoned, is_late, request.priority, order)
 
         return min(waiting, key=rank)
+
+
+class EarliestDeadlineFirst(QueueDiscipline):
+    """Run requests that can still meet their target by their deadline.
+
+    Handles this load pattern: a backlog, where flows are admitted by the expected wait
+    (see ``AdmissionByWait``). Each waiting request was promised its target, so the one
+    that must start first goes first; if the newest went first, the older ones would
+    become late although all were expected to be on time. The operators' priority comes
+    first; late and abandoned requests come last, as with ``OnTimeFirst``.
+    """
+
+    def choose(
+        self, waiting: Iterable[WaitingRequest], now: timedelta, work: timedelta
+    ) -> WaitingRequest:
+        """Return the request with the lowest sort key."""
+
+        def rank(request: WaitingRequest) -> tuple[bool, bool, int, timedelta]:
+            """Return the sort key of a request."""
+            slack = request.slack(now, work)
+            is_late = slack < timedelta()
+            order = request.queued if is_late else slack
+            return (request.is_abandoned, is_late, request.priority, order)
+
+        return min(waiting, key=rank)
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/request_queue.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/request_queue.py
@@ -1,5 +1,6 @@
 """Queue of the requests at one companion."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from .discipline import QueueDiscipline
@@ -24,6 +25,14 @@
         """Return the number of waiting requests."""
         return len(self._waiting)
 
+    def order_by(self, discipline: QueueDiscipline) -> None:
+        """Order the waiting requests by another discipline."""
+        self._discipline = discipline
+
+    def waiting(self) -> Iterable[WaitingRequest]:
+        """Return the waiting requests."""
+        return self._waiting.values()
+
     def get(self, flow: bytes) -> WaitingRequest | None:
         """Return the waiting request of a flow."""
         return self._waiting.get(flow)
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/work_estimate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/work_estimate.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from .const import ESTIMATE_WEIGHT, INITIAL_ESTIMATE
+from .const import ESTIMATE_WEIGHT, INITIAL_ESTIMATE, UPPER_BOUND_DEVIATIONS
 
 
 class WorkEstimate:
@@ -15,6 +15,7 @@
     def __init__(self) -> None:
         """Initialize with the default estimate."""
         self._value = INITIAL_ESTIMATE
+        self._deviation = timedelta()
         self._responses = 0
 
     @property
@@ -22,6 +23,14 @@
         """Return the estimate."""
         return self._value
 
+    @property
+    def upper_bound(self) -> timedelta:
+        """Return the time in which nearly all requests are processed.
+
+        As in RFC 6298, the mean deviation stands for the spread.
+        """
+        return self._value + self._deviation * UPPER_BOUND_DEVIATIONS
+
     @property
     def observed_ms(self) -> float:
         """Return the estimate in milliseconds, or 0 without a response."""
@@ -31,4 +40,7 @@
         """Include the duration of a response."""
         self._responses += 1
         weight = max(ESTIMATE_WEIGHT, 1 / self._responses)
-        self._value += (duration - self._value) * weight
+        difference = duration - self._value
+        self._value += difference * weight
+        if self._responses > 1:
+            self._deviation += (abs(difference) - self._deviation) * weight
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -3,15 +3,24 @@
 import asyncio
 from datetime import timedelta
 
+from pomelotrail_companion.opening_wait import AdmissionByWait, Decision, NewFlow
+from pomelotrail_companion.request_queue.const import ROUND_TRIP_TIME
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import Packet, PacketCodec, flow_text
-from pomelotrail_core.offers import Offer, OfferReply, Outcome, Pong, encode
+from pomelotrail_core.offers import (
+    LOWEST_COUNTED_PRIORITY,
+    Offer,
+    OfferReply,
+    Outcome,
+    Pong,
+    encode,
+)
 
 from .cold_budget import ColdBudget
-from .const import RESTART_READ_DELAY, SERVER_ACCEPT_TIMEOUT
+from .const import MILLISECOND, RESTART_READ_DELAY, SERVER_ACCEPT_TIMEOUT
 from .outage_tracker import OutageTracker
 from .request_gate import RequestGate
 from .server_flows import RouteSettings, ServerFlow, ServerFlows
@@ -52,6 +61,7 @@
         self._counters = counters
         self._send_message = send_message
         self._send_to_server = send_to_server
+        self._by_wait = AdmissionByWait()
         self._budget = ColdBudget(clock.monotonic())
         self._may_be_cold_until = clock.monotonic()
 
@@ -65,11 +75,17 @@
         self._outages.record(offer.unsettled_ms, offer.era)
         self._gate.set_slots(offer.slots)
         self._flows.drop_unused_openings(now)
-        outcome = self._decide_outcome(offer, packet, now)
+        decision = self._decide_by_wait(offer, now)
+        outcome = self._decide_outcome(offer, packet, decision, now)
         if outcome is Outcome.ACCEPTED:
             self._accept_opening(offer, packet, balancer, now)
-        load = self._send_reply(offer.number, outcome, balancer)
+        wait_ms = self._reported_wait_ms(decision, outcome)
+        load = self._send_reply(offer.number, outcome, balancer, wait_ms)
         self._counters.add(f"offers_{outcome.name.lower()}")
+        if outcome is Outcome.ACCEPTED and decision is not None:
+            kind = "on_time" if decision.is_on_time else "late"
+            priority = min(offer.priority, LOWEST_COUNTED_PRIORITY)
+            self._counters.add(f"flows_{kind}_priority_{priority}")
         self._log.write(
             _PART,
             f"offer_{outcome.name.lower()}",
@@ -80,6 +96,7 @@
             limit=offer.limit,
             cold_per_s=offer.cold_per_s,
             balancer=balancer[0],
+            **_wait_fields(offer, decision),
         )
 
     def handle_ping(self, number: int, balancer: Address) -> None:
@@ -105,13 +122,35 @@
             self._log.write(_PART, "server_may_be_cold")
         self._may_be_cold_until = now + RESTART_READ_DELAY
 
-    def _decide_outcome(self, offer: Offer, packet: Packet, now: timedelta) -> Outcome:
+    def _decide_by_wait(self, offer: Offer, now: timedelta) -> Decision | None:
+        """Return what the expected wait says of a flow; None without its age."""
+        if offer.age_ms is None:
+            return None
+        self._gate.order_by_deadline()
+        backlog = self._gate.backlog(now)
+        left = (offer.target_ms - offer.age_ms) * MILLISECOND
+        return self._by_wait.decide(
+            NewFlow(
+                priority=offer.priority,
+                slack=left - backlog.work_upper_bound - ROUND_TRIP_TIME,
+                max_wait=(offer.max_wait_ms or 0) * MILLISECOND,
+            ),
+            backlog,
+        )
+
+    def _decide_outcome(
+        self, offer: Offer, packet: Packet, decision: Decision | None, now: timedelta
+    ) -> Outcome:
         """Return the outcome of an offer."""
         if offer.service != self._service:
             return Outcome.OTHER_SERVICE
         if self._flows.get(packet.caller_flow) is not None:
             return Outcome.ACCEPTED
-        if self._flows.load(now) >= offer.limit:
+        if decision is not None and offer.max_wait_ms is not None:
+            is_busy = not decision.is_accepted
+        else:
+            is_busy = self._flows.load(now) >= offer.limit
+        if is_busy:
             return Outcome.BUSY
         cold_per_s = offer.cold_per_s
         if cold_per_s is None and now < self._may_be_cold_until:
@@ -120,6 +159,17 @@
             return Outcome.COLD
         return Outcome.ACCEPTED
 
+    def _reported_wait_ms(
+        self, decision: Decision | None, outcome: Outcome
+    ) -> float | None:
+        """Return the wait of the next flow that can meet its target."""
+        if decision is None:
+            return None
+        wait_ms = decision.wait_on_time / MILLISECOND
+        if outcome is Outcome.ACCEPTED and decision.is_on_time:
+            wait_ms += self._gate.work_ms
+        return wait_ms
+
     def _accept_opening(
         self, offer: Offer, packet: Packet, balancer: Address, now: timedelta
     ) -> None:
@@ -128,7 +178,10 @@
         if entry is not None and entry.is_open:
             return
         if entry is None:
-            entry = self._flows.open(packet.caller_flow, balancer, offer.number, now)
+            age = offer.age_ms * MILLISECOND if offer.age_ms is not None else None
+            entry = self._flows.open(
+                packet.caller_flow, balancer, offer.number, now, age
+            )
         entry.balancer, entry.offer_number = balancer, offer.number
         target = timedelta(milliseconds=offer.target_ms)
         self._flows.set_route_settings(
@@ -157,9 +210,15 @@
             occupancy=self._flows.occupancy,
         )
 
-    def _send_reply(self, number: int, outcome: Outcome, balancer: Address) -> int:
+    def _send_reply(
+        self,
+        number: int,
+        outcome: Outcome,
+        balancer: Address,
+        wait_ms: float | None = None,
+    ) -> int:
         """Send a balancer the outcome of its offer; return the reported load."""
-        reply = OfferReply(number, outcome, *self._load_report())
+        reply = OfferReply(number, outcome, *self._load_report(), wait_ms=wait_ms)
         self._send_message(encode(reply), balancer)
         return reply.occupancy
 
@@ -167,3 +226,16 @@
         """Return load, number of flows and work time, as replies contain them."""
         load = self._flows.load(self._clock.monotonic())
         return load, len(self._flows), self._gate.work_ms
+
+
+def _wait_fields(offer: Offer, decision: Decision | None) -> dict[str, int | bool]:
+    """Return the fields of the log line of an offer that the wait decided."""
+    if decision is None:
+        return {}
+    return {
+        "age_ms": offer.age_ms or 0,
+        "priority": offer.priority,
+        "on_time": decision.is_on_time,
+        "wait_on_time_ms": decision.wait_on_time // MILLISECOND,
+        "wait_late_ms": decision.wait_late // MILLISECOND,
+    }
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
@@ -2,12 +2,15 @@
 
 from datetime import timedelta
 
+from pomelotrail_companion.opening_wait import Backlog, OnTimeShare, QueuedWork
 from pomelotrail_companion.request_queue import (
+    EarliestDeadlineFirst,
     OnTimeFirst,
     RequestQueue,
     WaitingRequest,
     WorkEstimate,
 )
+from pomelotrail_companion.request_queue.const import ROUND_TRIP_TIME
 from pomelotrail_core.flows import Packet
 
 from .server_flows import ServerFlow, ServerFlows
@@ -26,6 +29,8 @@
         self._flows = flows
         self._estimate = estimate
         self._queue = RequestQueue(OnTimeFirst(), self._estimate)
+        self._on_time_share = OnTimeShare()
+        self._is_by_deadline = False
         self._slots: int | None = None
 
     def __len__(self) -> int:
@@ -37,6 +42,38 @@
         """Return the observed processing time of a request; 0 if none was observed."""
         return self._estimate.observed_ms
 
+    def backlog(self, now: timedelta) -> Backlog:
+        """Return all work at the backend server.
+
+        Requests whose callers have closed the flow run after all others and are left
+        out.
+        """
+        work = self._estimate.value
+        queued = [
+            QueuedWork(request.priority, request.slack(now, work))
+            for request in self._queue.waiting()
+            if not request.is_abandoned
+        ]
+        for entry in self._flows.unused_openings():
+            settings = self._flows.route_settings(entry.flow)
+            slack = settings.target - entry.waited(now) - work - ROUND_TRIP_TIME
+            queued.append(QueuedWork(settings.priority, slack))
+        return Backlog(
+            slots=self._slots or 1,
+            work=work,
+            work_upper_bound=self._estimate.upper_bound,
+            running=self._flows.running_times(now),
+            queued=tuple(queued),
+            unanswered=self._flows.penalty(now),
+            on_time_share=self._on_time_share.value(work, self._slots or 1, now),
+        )
+
+    def order_by_deadline(self) -> None:
+        """Run requests by their deadline, where flows are admitted by wait."""
+        if not self._is_by_deadline:
+            self._is_by_deadline = True
+            self._queue.order_by(EarliestDeadlineFirst())
+
     def set_slots(self, slots: int) -> None:
         """Set the number of slots from the backend server's directory entry."""
         self._slots = max(1, slots)
@@ -54,11 +91,15 @@
             return True
         if entry.requested is None or entry.started is not None or not packet.size:
             return True
+        settings = self._flows.route_settings(entry.flow)
         if self._has_free_slot():
             self._flows.start_request(entry, now)
+            if entry.waited(now) <= settings.target:
+                self._on_time_share.record(now)
             return True
-        settings = self._flows.route_settings(entry.flow)
-        request = WaitingRequest(entry.flow, now, settings.priority, settings.target)
+        request = WaitingRequest(
+            entry.flow, now, settings.priority, settings.target, entry.waited(now)
+        )
         request.add(packet)
         self._queue.add(request)
         return False
@@ -82,6 +123,8 @@
             if entry is None or entry.requested is None:
                 continue
             self._flows.start_request(entry, now)
+            if request.slack(now, self._estimate.value) >= timedelta():
+                self._on_time_share.record(now)
             released.append(request)
         return released
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -33,7 +33,9 @@
     accepted the flow. ``next_sequence`` is close to the next byte that the caller
     expects. ``idle_before`` is the time between the last two packets of the caller or
     the server. ``requested`` is set while a request is expected or in progress, and
-    ``started`` once it was forwarded to the backend server.
+    ``started`` once it was forwarded to the backend server. ``age`` is how long the
+    caller had waited when the flow was offered, if the offer told it; the first
+    response removes it, since later requests haven't waited.
     """
 
     flow: bytes
@@ -42,6 +44,7 @@
     balancer: Address
     opened: timedelta = timedelta()
     offer_number: int = 0
+    age: timedelta | None = None
     started: timedelta | None = None
     initial_sequence: int | None = None
     caller_end: int | None = None
@@ -51,6 +54,10 @@
     is_open: bool = False
     is_closed: bool = False
 
+    def waited(self, now: timedelta) -> timedelta:
+        """Return how long the caller has waited for the first response, if known."""
+        return self.age + now - self.opened if self.age is not None else timedelta()
+
 
 class SweptFlows(msgspec.Struct, frozen=True):
     """Open flows that were removed, and flows whose request timed out."""
@@ -113,7 +120,11 @@
         return len(self._running)
 
     def load(self, now: timedelta) -> int:
-        """Return the occupancy plus a penalty for unanswered requests.
+        """Return the occupancy plus the penalty for unanswered requests."""
+        return self._in_progress + self.penalty(now)
+
+    def penalty(self, now: timedelta) -> int:
+        """Return the number of requests that unanswered ones count as.
 
         Handles this load pattern: a backend server fails to answer some requests while
         its health check succeeds. Every request that is overdue or was lost in the last
@@ -125,9 +136,19 @@
         running = self._running.values()
         overdue_after = max(OVERDUE_AFTER, self._estimate.value * OVERDUE_WORK_FACTOR)
         overdue = sum(now - entry.started >= overdue_after for entry in running)
-        return self._in_progress + UNANSWERED_LOAD_PENALTY * (
-            overdue + len(self._unanswered)
-        )
+        return UNANSWERED_LOAD_PENALTY * (overdue + len(self._unanswered))
+
+    def running_times(self, now: timedelta) -> tuple[timedelta, ...]:
+        """Return for how long each request at the backend server has run."""
+        return tuple(now - entry.started for entry in self._running.values())
+
+    def unused_openings(self) -> list[ServerFlow]:
+        """Return the accepted flows whose first request is still expected."""
+        return [
+            entry
+            for entry in self._openings
+            if entry.requested is not None and entry.caller_end is None
+        ]
 
     def open_flows(self) -> list[ServerFlow]:
         """Return the open flows."""
@@ -161,11 +182,16 @@
         )
 
     def open(
-        self, flow: bytes, balancer: Address, offer: int, now: timedelta
+        self,
+        flow: bytes,
+        balancer: Address,
+        offer: int,
+        now: timedelta,
+        age: timedelta | None = None,
     ) -> ServerFlow:
         """Add a flow whose opening packet goes to the backend server."""
         self.remove(flow)
-        entry = ServerFlow(flow, now, now, balancer, now, offer)
+        entry = ServerFlow(flow, now, now, balancer, now, offer, age)
         self._add(entry, now)
         self._in_progress += 1
         self._openings.append(entry)
@@ -230,6 +256,7 @@
     def record_response(self, entry: ServerFlow, now: timedelta) -> timedelta | None:
         """Record data of the backend server and return its processing time."""
         started = entry.started
+        entry.age = None
         self._end_request(entry)
         return now - started if started is not None else None
 
--- a/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
@@ -1,7 +1,11 @@
 """Messages between balancers and companions about flows and their owners."""
 
 from .codec import decode, encode, service_label
-from .const import MAX_PROBES_PER_REQUEST, MISSING_ENTRY_GRACE
+from .const import (
+    LOWEST_COUNTED_PRIORITY,
+    MAX_PROBES_PER_REQUEST,
+    MISSING_ENTRY_GRACE,
+)
 from .messages import (
     FleetMessage,
     Lookup,
@@ -18,6 +22,7 @@
 )
 
 __all__ = [
+    "LOWEST_COUNTED_PRIORITY",
     "MAX_PROBES_PER_REQUEST",
     "MISSING_ENTRY_GRACE",
     "FleetMessage",
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -48,9 +48,12 @@
     ``era`` is that of the store which the balancer last read; 0 if unknown.
     ``reserved`` keeps the place of a number that earlier versions expect.
     ``start_per_s`` is the rate of ``cold_per_s`` for a server that the balancer takes
-    for warm, in case that it has started again; None if operators set none. ``age_ms``
-    is how long the caller has waited since it first sent the opening packet, and
-    ``timeout_ms`` the request timeout set by operators; 0 if they set none.
+    for warm, in case that it has started again; None if operators set none.
+
+    ``age_ms`` is the time since the caller first sent the opening packet, or None if it
+    doesn't matter. With ``max_wait_ms``, the expected wait decides instead of
+    ``limit``: the flow is accepted if it can meet its target, or else if it would wait
+    for at most this time behind all others.
     """
 
     number: int
@@ -65,8 +68,8 @@
     era: _Era = 0
     reserved: int = 0
     start_per_s: _Rate | None = None
-    age_ms: _DurationMs = 0
-    timeout_ms: _DurationMs = 0
+    age_ms: _DurationMs | None = None
+    max_wait_ms: _DurationMs | None = None
 
 
 class OfferReply(_Message, tag=2):
@@ -77,7 +80,8 @@
     ``work_ms`` is the observed processing time of a request; 0 if none was observed.
     ``concurrency`` is the learnt number of concurrent requests beyond which the server
     answers later rather than more; 0 if it hasn't been learnt. ``wait_ms`` is the
-    expected time until a slot is free for a flow like the offered one.
+    expected time until a slot is free for another flow of the offered priority that
+    can meet its target; None if the offer had no age.
     """
 
     number: int
@@ -86,7 +90,7 @@
     flows: int
     work_ms: float = 0.0
     concurrency: int = 0
-    wait_ms: float = 0.0
+    wait_ms: float | None = None
 
 
 class Owner(_Message, tag=3):
