Cold and silent companions don't use up a flow's few offers

Cause: where the wait decides, three declines on time and three late ones end the placement. A cold server out of its budget is idle and so has the shortest wait. Six offers went to such servers, and the flow was refused although others had room on time.

Change: a companion that declines for another reason than its work isn't asked again for this flow, and doesn't count as one of the three.

Check: test_cold_servers fails on the policy before (no choice is left). Placement by count is as before, since only choices with an age are treated so.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -105,7 +105,7 @@
             )
             if outcome is Outcome.ACCEPTED:
                 return
-            context.record_decline(choice)
+            context.record_decline(choice, is_busy=outcome is Outcome.BUSY)
             outcomes.append(_format_outcome(choice, outcome))
         if not record.accepted_by:
             self._refuse(packet, service, route, outcomes)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -38,7 +38,8 @@
     selected by weight; ``alternatives`` are those of the other services of the route.
     Companions in ``declined`` had no free slot or did not reply; those in ``full`` also
     declined to queue the flow, and those in ``declined_on_time`` can't answer it within
-    its target. ``max_wait`` is how long the flow may wait in a queue; ``first_sent`` is
+    its target. ``late_declines`` counts those that had no room even for a late flow.
+    ``max_wait`` is how long the flow may wait in a queue; ``first_sent`` is
     when the caller first sent its opening packet, by the clock of this process.
     """
 
@@ -48,6 +49,7 @@
     declined: list[CompanionView] = msgspec.field(default_factory=list)
     full: list[CompanionView] = msgspec.field(default_factory=list)
     declined_on_time: list[CompanionView] = msgspec.field(default_factory=list)
+    late_declines: int = 0
     max_wait: timedelta = DEFAULT_MAX_WAIT
     target: timedelta = DEFAULT_TARGET
     first_sent: timedelta = timedelta()
@@ -72,12 +74,20 @@
         """Return how long the caller has waited."""
         return max(timedelta(), now - self.first_sent)
 
-    def record_decline(self, choice: Choice) -> None:
-        """Record that a companion declined the flow or didn't reply."""
+    def record_decline(self, choice: Choice, *, is_busy: bool = True) -> None:
+        """Record that a companion declined the flow or didn't reply.
+
+        If it declined for another reason than its work, such as a cold server, no
+        offer of a longer wait changes that.
+        """
         companion = choice.companion
-        if choice.max_wait is not None:
-            is_late = choice.max_wait > timedelta()
-            (self.full if is_late else self.declined_on_time).append(companion)
+        if choice.age is not None and not is_busy:
+            self.full.append(companion)
+        elif choice.max_wait is not None and choice.max_wait > timedelta():
+            self.full.append(companion)
+            self.late_declines += 1
+        elif choice.max_wait is not None:
+            self.declined_on_time.append(companion)
         elif companion in self.declined:
             self.full.append(companion)
         self.declined.append(companion)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
@@ -47,7 +47,7 @@
             if on_time:
                 return self._choose(on_time, timedelta())
         max_wait = context.max_wait - context.age(now)
-        if len(context.full) >= MAX_LATE_DECLINED or max_wait <= timedelta():
+        if context.late_declines >= MAX_LATE_DECLINED or max_wait <= timedelta():
             return None
         waits = [(self._load(each, now) * each.work, each) for each in companions]
         return self._choose(waits, max_wait)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
@@ -74,6 +74,17 @@
         self.assertEqual(len(choices), MAX_ON_TIME_DECLINED + MAX_LATE_DECLINED)
         self.assertEqual(choices[-1].max_wait, timedelta(seconds=1.6))
 
+    def test_cold_servers(self) -> None:
+        """Servers that are idle because they are cold don't use up the offers."""
+        cold = [_busy(number, 0, occupancy=0) for number in range(1, 7)]
+        context = self.context(*cold, *(_busy(number, 90) for number in range(7, 10)))
+        while (choice := self.policy.choose(context, _NOW)) is not None:
+            if choice.companion not in cold:
+                break
+            context.record_decline(choice, is_busy=False)
+        self.assertIsNotNone(choice)
+        self.assertEqual(choice.max_wait, timedelta())
+
     def test_no_server_in_time(self) -> None:
         """A flow that can't meet its target anywhere is offered as late at once."""
         context = self.context(*(_busy(number, 390) for number in range(1, 9)))
