Balancers with old reports choose different companions

Cause: a reported wait passes with time, so after some hundred milliseconds many companions are expected to have none. The first of them in the directory was chosen, by all balancers of a zone at once.

Change: a random part of at most a hundredth of a request, as in the load.

Check: test_equal_waits fails before (one companion is chosen instead of more than three).

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
@@ -53,9 +53,13 @@
         return self._choose(waits, max_wait)
 
     def _wait_on_time(self, companion: CompanionView, now: timedelta) -> timedelta:
-        """Return the expected wait of an on-time flow, with the cost of the hop."""
-        hop = self._zone_load(companion) * companion.work
-        return companion.expected_wait(now) + hop
+        """Return the expected wait of an on-time flow, with the cost of the hop.
+
+        Old reports expect no wait. The random part keeps all balancers of a zone from
+        choosing the same companion then.
+        """
+        extra = self._zone_load(companion) + self._random.random() * 0.01
+        return companion.expected_wait(now) + extra * companion.work
 
     @staticmethod
     def _choose(
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
@@ -67,6 +67,17 @@
         self.assertEqual(choice.companion.server.identity, "server-2")
         self.assertEqual((choice.age, choice.max_wait), (timedelta(), timedelta()))
 
+    def test_equal_waits(self) -> None:
+        """Balancers whose reports are all old don't choose the same companion."""
+        companions = [_busy(number, 0) for number in range(1, 9)]
+        chosen = {
+            PlacementBySlots("zone-1", random.Random(seed))
+            .choose(self.context(*companions), _NOW)
+            .companion.server.identity
+            for seed in range(8)
+        }
+        self.assertGreater(len(chosen), 3)
+
     def test_offers_when_all_are_full(self) -> None:
         """A few companions are asked, then the flow is refused at once."""
         context = self.context(*(_busy(number, 100) for number in range(1, 30)))
