Servers with several slots are never asked by the wait

Cause: only the selected service's servers decided on the policy. Flows were offered to other services of the route by the wait even if their servers have several slots, and their companions then ordered all requests by deadline until they restarted.

Change: the servers of all services of the route decide.

Check: test_alternative_with_several_slots fails before (an offer has an age).

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -1,6 +1,7 @@
 """Placement policies: selection of the companion for a new flow."""
 
 import abc
+import itertools
 import random
 from collections.abc import Sequence
 from datetime import timedelta
@@ -56,8 +57,9 @@
 
     @property
     def has_single_slots(self) -> bool:
-        """Return whether every server of the service runs one request at a time."""
-        return all(each.slots == 1 for each in self.candidates)
+        """Return whether every server of the route runs one request at a time."""
+        companions = itertools.chain(self.candidates, self.alternatives)
+        return all(each.slots == 1 for each in companions)
 
     @property
     def others_declined(self) -> int:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
@@ -117,6 +117,13 @@
         expected = timedelta(milliseconds=30) + 2 * view.work
         self.assertEqual(view.expected_wait(later), expected)
 
+    def test_alternative_with_several_slots(self) -> None:
+        """No server with several slots is asked by the wait."""
+        context = self.context(_busy(1, 100))
+        context.alternatives = [companion(2, 30, slots=4, reported_ms=100)]
+        ages = [choice.age for choice in self.declined(context)]
+        self.assertEqual(set(ages), {None})
+
     def test_several_slots(self) -> None:
         """Where servers have several slots, the limit decides as before."""
         reports = ((1, 9), (2, 8))
