Ordinary flows wait in the time that urgent ones leave

Cause: a flow was promised its target although urgent requests, which come later and run first, take part of the server's time. In a burst of both, the queue was overbooked by that part; the flows at its end became late, got no slot and ran into their deadline.

Change: the expected wait is divided by the share that more urgent requests left in the last second and a half, as it was for late flows by that of all on time.

Check: test_ordinary_flow_among_urgent_ones fails before (no such field).

--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/admission.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from .backlog import Backlog, NewFlow, QueuedWork
-from .const import MIN_LATE_SHARE
+from .const import MIN_SHARE_LEFT
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -32,7 +32,8 @@
     ``OnTimeFirst``), so only these delay a new flow that can meet its own target.
 
     Also handles this load pattern: callers of urgent requests compete with others for
-    too little room. Waiting requests of lower priority don't count for an urgent flow.
+    too little room. Waiting requests of lower priority don't count for an urgent flow,
+    and the others wait in the time that urgent ones leave.
 
     A flow that can't meet its target, here or because its caller has already waited
     too long, is accepted if it would be answered well within its timeout. It waits
@@ -50,9 +51,8 @@
             for each in queued
             if not each.is_late and each.priority <= flow.priority
         ]
-        wait_on_time = _wait(backlog, ahead)
-        left = max(MIN_LATE_SHARE, 1 - backlog.on_time_share)
-        wait_late = _wait(backlog, queued) / left
+        wait_on_time = _wait(backlog, ahead) / _left(backlog.urgent_share)
+        wait_late = _wait(backlog, queued) / _left(backlog.on_time_share)
         is_on_time = wait_on_time <= flow.slack
         is_accepted = is_on_time or wait_late <= flow.max_wait
         return Decision(is_accepted, is_on_time, wait_on_time, wait_late)
@@ -68,6 +68,11 @@
     return (sum(remaining, timedelta()) + backlog.work * count) / slots
 
 
+def _left(share: float) -> float:
+    """Return the share of the server's time that others leave."""
+    return max(MIN_SHARE_LEFT, 1 - share)
+
+
 def _remaining(elapsed: timedelta, work: timedelta) -> timedelta:
     """Return the expected time until a running request is answered.
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/backlog.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/backlog.py
@@ -27,7 +27,8 @@
     ``work`` is the observed processing time of a request and ``work_upper_bound`` that
     of nearly all. ``running`` is for how long each request at the server has run.
     ``unanswered`` is the number of requests that failures in the last seconds count as.
-    ``on_time_share`` is the share of the server's time that requests on time took.
+    ``on_time_share`` is the share of the server's time that requests on time took, and
+    ``urgent_share`` the part of it by requests more urgent than the new flow.
     """
 
     slots: int
@@ -37,6 +38,7 @@
     queued: tuple[QueuedWork, ...] = ()
     unanswered: int = 0
     on_time_share: float = 0.0
+    urgent_share: float = 0.0
 
 
 class NewFlow(msgspec.Struct, frozen=True):
--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/const.py
@@ -6,5 +6,5 @@
 # Covers bursts of callers and the time in which a backlog of an outage is served; a
 # longer window would take the time before them for the present.
 SHARE_WINDOW: Final = timedelta(milliseconds=1_500)
-# With less time left for late requests than this, the expected wait is without meaning.
-MIN_LATE_SHARE: Final = 0.02
+# With less of the server's time left than this, the expected wait is without meaning.
+MIN_SHARE_LEFT: Final = 0.02
--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/builders.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/builders.py
@@ -21,10 +21,13 @@
     running_ms: int | None = 0,
     unanswered: int = 0,
     on_time_share: float = 0.0,
+    urgent_share: float = 0.0,
 ) -> Backlog:
     """Return the backlog of a server with one slot, by default just taken."""
     running = () if running_ms is None else (timedelta(milliseconds=running_ms),)
-    return Backlog(1, WORK, WORK, running, requests, unanswered, on_time_share)
+    return Backlog(
+        1, WORK, WORK, running, requests, unanswered, on_time_share, urgent_share
+    )
 
 
 def flow(
--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/test_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/test_admission.py
@@ -60,6 +60,12 @@
         backlogged = backlog(*queued(9), *queued(50, slack_ms=-1))
         self.assertFalse(self.decide(late, backlogged).is_accepted)
 
+    def test_ordinary_flow_among_urgent_ones(self) -> None:
+        """A flow waits longer where urgent requests take part of the server's time."""
+        for share, is_accepted in ((0.0, True), (0.4, False)):
+            backlogged = backlog(*queued(9), urgent_share=share)
+            self.assertEqual(self.decide(flow(), backlogged).is_accepted, is_accepted)
+
     def test_late_flow_in_a_long_burst(self) -> None:
         """A late flow is declined where requests on time leave no time for it."""
         late = flow(slack_ms=-1, max_wait_ms=1_600)
@@ -71,10 +77,12 @@
         """The share is that of the last second and a half."""
         share, now = OnTimeShare(), timedelta(seconds=9)
         for number in range(25):
-            share.record(now + number * timedelta(milliseconds=10))
+            share.record(number % 2, now + number * timedelta(milliseconds=10))
+        urgent = share.of_more_urgent(1, WORK, 1, now + timedelta(seconds=0.25))
+        self.assertAlmostEqual(urgent, 0.26)
         for seconds, expected in ((0.25, 0.5), (1.62, 0.25), (2, 0.0)):
             later = now + timedelta(seconds=seconds)
-            self.assertAlmostEqual(share.value(WORK, 1, later), expected, delta=0.02)
+            self.assertAlmostEqual(share.of_all(WORK, 1, later), expected, delta=0.02)
 
     def test_server_stops_responding(self) -> None:
         """The longer the running request takes, the longer the expected wait."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -127,7 +127,7 @@
         if offer.age_ms is None:
             return None
         self._gate.order_by_deadline()
-        backlog = self._gate.backlog(now)
+        backlog = self._gate.backlog(offer.priority, now)
         left = (offer.target_ms - offer.age_ms) * MILLISECOND
         return self._by_wait.decide(
             NewFlow(
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
@@ -42,13 +42,13 @@
         """Return the observed processing time of a request; 0 if none was observed."""
         return self._estimate.observed_ms
 
-    def backlog(self, now: timedelta) -> Backlog:
-        """Return all work at the backend server.
+    def backlog(self, priority: int, now: timedelta) -> Backlog:
+        """Return all work at the backend server, for a flow of a priority.
 
         Requests whose callers have closed the flow run after all others and are left
         out.
         """
-        work = self._estimate.value
+        work, slots, share = self._estimate.value, self._slots or 1, self._on_time_share
         queued = [
             QueuedWork(request.priority, request.slack(now, work))
             for request in self._queue.waiting()
@@ -59,13 +59,14 @@
             slack = settings.target - entry.waited(now) - work - ROUND_TRIP_TIME
             queued.append(QueuedWork(settings.priority, slack))
         return Backlog(
-            slots=self._slots or 1,
+            slots=slots,
             work=work,
             work_upper_bound=self._estimate.upper_bound,
             running=self._flows.running_times(now),
             queued=tuple(queued),
             unanswered=self._flows.penalty(now),
-            on_time_share=self._on_time_share.value(work, self._slots or 1, now),
+            on_time_share=share.of_all(work, slots, now),
+            urgent_share=share.of_more_urgent(priority, work, slots, now),
         )
 
     def order_by_deadline(self) -> None:
@@ -95,7 +96,7 @@
         if self._has_free_slot():
             self._flows.start_request(entry, now)
             if entry.waited(now) <= settings.target:
-                self._on_time_share.record(now)
+                self._on_time_share.record(settings.priority, now)
             return True
         request = WaitingRequest(
             entry.flow, now, settings.priority, settings.target, entry.waited(now)
@@ -124,7 +125,7 @@
                 continue
             self._flows.start_request(entry, now)
             if request.slack(now, self._estimate.value) >= timedelta():
-                self._on_time_share.record(now)
+                self._on_time_share.record(request.priority, now)
             released.append(request)
         return released
 
