Companion: processing times by route, from recent answers

Cause: the reported processing time was one average over all routes of a server and over answers alone. A change of the mix looked like a change of the server, and a server without requests kept its last figure for good. Change: for a server with one slot, replies to offers have the average of the offer's route, from the answers of the last seconds, and say so with concurrency 1. With several slots nothing changes.

--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/__init__.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/__init__.py
@@ -2,6 +2,7 @@
 
 from .discipline import OnTimeFirst, QueueDiscipline
 from .request_queue import RequestQueue
+from .route_work import RouteWork
 from .waiting_request import WaitingRequest
 from .work_estimate import WorkEstimate
 
@@ -9,6 +10,7 @@
     "OnTimeFirst",
     "QueueDiscipline",
     "RequestQueue",
+    "RouteWork",
     "WaitingRequest",
     "WorkEstimate",
 ]
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
@@ -12,3 +12,17 @@
 # Used for flows from before a restart of this process, whose class is unknown.
 DEFAULT_PRIORITY: Final = 100
 DEFAULT_TARGET: Final = timedelta(milliseconds=250)
+# Averages about this many responses of a route. Single requests of one kind differ by
+# half their mean, which leaves an error of an eighth.
+SPEED_RESPONSES: Final = 20
+# Older responses say little about the server's present speed. At the full rate of a
+# slow server, the average covers twice as many responses as it needs.
+MIN_SPEED_WINDOW: Final = timedelta(seconds=2)
+SPEED_WINDOW_WORK_FACTOR: Final = 40
+# Below this many recent responses, the average is mostly chance.
+MIN_SPEED_RESPONSES: Final = 3.0
+# A few requests take many times as long as the others of their kind. They count as
+# this multiple of the average, which still follows a server that slows down.
+MAX_RESPONSE_FACTOR: Final = 3
+# Bounds the memory; servers of a service are reached at a few addresses.
+MAX_ROUTES: Final = 256
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -68,7 +68,7 @@
         outcome = self._decide_outcome(offer, packet, now)
         if outcome is Outcome.ACCEPTED:
             self._accept_opening(offer, packet, balancer, now)
-        load = self._send_reply(offer.number, outcome, balancer)
+        load = self._send_reply(offer.number, outcome, packet.caller_flow, balancer)
         self._counters.add(f"offers_{outcome.name.lower()}")
         self._log.write(
             _PART,
@@ -84,7 +84,7 @@
 
     def handle_ping(self, number: int, balancer: Address) -> None:
         """Reply to a ping."""
-        self._send_message(encode(Pong(number, *self._load_report())), balancer)
+        self._send_message(encode(Pong(number, *self._load())), balancer)
 
     def handle_returned_opening(self, packet: Packet, entry: ServerFlow | None) -> None:
         """Decline an accepted offer whose opening packet the server refused."""
@@ -149,7 +149,7 @@
 
     def _correct_offer_reply(self, entry: ServerFlow, outcome: Outcome) -> None:
         """Correct the reply to an accepted offer."""
-        self._send_reply(entry.offer_number, outcome, entry.balancer)
+        self._send_reply(entry.offer_number, outcome, entry.flow, entry.balancer)
         self._log.write(
             _PART,
             outcome.name.lower(),
@@ -157,13 +157,20 @@
             occupancy=self._flows.occupancy,
         )
 
-    def _send_reply(self, number: int, outcome: Outcome, balancer: Address) -> int:
+    def _send_reply(
+        self, number: int, outcome: Outcome, flow: bytes, balancer: Address
+    ) -> int:
         """Send a balancer the outcome of its offer; return the reported load."""
-        reply = OfferReply(number, outcome, *self._load_report())
+        load, flows, work_ms = self._load()
+        concurrency = 0
+        route_work_ms = self._gate.route_work_ms(flow, self._clock.monotonic())
+        if route_work_ms is not None:
+            work_ms, concurrency = route_work_ms, 1
+        reply = OfferReply(number, outcome, load, flows, work_ms, concurrency)
         self._send_message(encode(reply), balancer)
         return reply.occupancy
 
-    def _load_report(self) -> tuple[int, int, float]:
+    def _load(self) -> tuple[int, int, float]:
         """Return load, number of flows and work time, as replies contain them."""
         load = self._flows.load(self._clock.monotonic())
         return load, len(self._flows), self._gate.work_ms
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
@@ -5,11 +5,14 @@
 from pomelotrail_companion.request_queue import (
     OnTimeFirst,
     RequestQueue,
+    RouteWork,
     WaitingRequest,
     WorkEstimate,
 )
+from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES
 from pomelotrail_core.flows import Packet
 
+from .const import MILLISECOND
 from .server_flows import ServerFlow, ServerFlows
 
 
@@ -26,6 +29,7 @@
         self._flows = flows
         self._estimate = estimate
         self._queue = RequestQueue(OnTimeFirst(), self._estimate)
+        self._route_work = RouteWork()
         self._slots: int | None = None
 
     def __len__(self) -> int:
@@ -37,6 +41,17 @@
         """Return the observed processing time of a request; 0 if none was observed."""
         return self._estimate.observed_ms
 
+    def route_work_ms(self, flow: bytes, now: timedelta) -> float | None:
+        """Return the recent processing time on a flow's route, or None if unknown.
+
+        With several slots, the number of requests in progress shows how fast a server
+        is, and its processing times depend on that number.
+        """
+        if self._slots != 1:
+            return None
+        average = self._route_work.average(flow[PACKED_ENDPOINT_BYTES:], now)
+        return average / MILLISECOND if average is not None else None
+
     def set_slots(self, slots: int) -> None:
         """Set the number of slots from the backend server's directory entry."""
         self._slots = max(1, slots)
@@ -68,6 +83,8 @@
         duration = self._flows.record_response(entry, now)
         if duration is not None:
             self._estimate.record(duration)
+            route = entry.flow[PACKED_ENDPOINT_BYTES:]
+            self._route_work.record(route, duration, now)
         return duration
 
     def remove(self, flow: bytes) -> WaitingRequest | None:
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -76,7 +76,9 @@
     plus an extra weight for unanswered requests; ``flows`` counts all open flows.
     ``work_ms`` is the observed processing time of a request; 0 if none was observed.
     ``concurrency`` is the learnt number of concurrent requests beyond which the server
-    answers later rather than more; 0 if it hasn't been learnt. ``wait_ms`` is the
+    answers later rather than more; 0 if it hasn't been learnt. For a server with one
+    slot it is 1 if ``work_ms`` is that of recent requests of the offer's route, and 0
+    if it is that of all routes because there were too few. ``wait_ms`` is the
     expected time until a slot is free for a flow like the offered one.
     """
 
