Balancer: prefer servers that aren't slower than their peers

Cause: a server with one slot is idle or busy, so by count a server at half the speed gets as many flows as its peers. Change: ServerSpeeds compares the reported processing times of a route with those of the peers. ShortestQueue gives a slow server the load at which a usual one would complete the flow at the same time. Speeds are at most 1, small differences are ignored, and old reports fade.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
@@ -2,7 +2,12 @@
 
 from datetime import timedelta
 
-from pomelotrail_balancer.placement import Companions, CompanionView, PlacementPolicy
+from pomelotrail_balancer.placement import (
+    Companions,
+    CompanionView,
+    PlacementPolicy,
+    ServerSpeeds,
+)
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
@@ -93,7 +98,8 @@
             self._send_held_packets,
             self._reset_unowned,
         )
-        self._load_reports = LoadReports(clock, log, counters)
+        speeds = ServerSpeeds(log, counters)
+        self._load_reports = LoadReports(speeds, clock, log, counters)
         self._offers = OfferExchange(
             directory,
             self._load_reports,
@@ -108,6 +114,7 @@
             companions,
             policy,
             self._offers,
+            speeds,
             clock,
             log,
             counters,
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from pomelotrail_balancer.placement import (
     Choice,
     Companions,
+    CompanionView,
     PlacementContext,
     PlacementPolicy,
+    ServerSpeeds,
 )
 from pomelotrail_balancer.placement.const import MAX_WAIT_SHARE
 from pomelotrail_core.clock import Clock
@@ -41,6 +43,7 @@
         companions: Companions,
         policy: PlacementPolicy,
         offers: OfferExchange,
+        speeds: ServerSpeeds,
         clock: Clock,
         log: EventLog,
         counters: Counters,
@@ -51,6 +54,7 @@
         self._companions = companions
         self._policy = policy
         self._offers = offers
+        self._speeds = speeds
         self._clock = clock
         self._log = log
         self._counters = counters
@@ -131,8 +135,19 @@
             usable,
             alternatives,
             max_wait=route.timeout * MAX_WAIT_SHARE,
+            speeds=self._slow_servers(route, packet.receiver),
         )
 
+    def _slow_servers(
+        self, route: Route, address: bytes
+    ) -> Mapping[CompanionView, float]:
+        """Return the speeds of the slow servers of a route's services."""
+        now = self._clock.monotonic()
+        speeds: dict[CompanionView, float] = {}
+        for service in route.services:
+            speeds.update(self._speeds.slow_servers(service, address, now))
+        return speeds
+
     def _refuse(self, packet: Packet, service: str, outcomes: list[str]) -> None:
         """Refuse a flow that no companion accepted; none of its requests has run.
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
@@ -12,6 +12,7 @@
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
 from pomelotrail_core.directory import Directory, Route
+from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import Packet, flow_text
 from pomelotrail_core.offers import Offer, OfferReply, Outcome, encode
@@ -83,7 +84,8 @@
         offer = pending or overdue
         if offer is None or offer.companion.fleet_address != sender:
             return
-        self._load_reports.record(offer.companion, message)
+        route = offer.record.flow[PACKED_ENDPOINT_BYTES:]
+        self._load_reports.record(offer.companion, message, route)
         if not offer.has_reply:
             offer.has_reply = True
             self._reply_time.record(self._clock.monotonic() - offer.sent_at)
@@ -197,6 +199,8 @@
             copy=packet.retransmission_count,
             server=choice.companion.server.identity,
             load=round(choice.load, 3),
+            speed=round(choice.speed, 2),
+            work_ms=round(choice.companion.work / MILLISECOND, 1),
             report_age_ms=round(age, 1),
             limit=choice.limit,
             version=self._directory.version,
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -10,7 +10,9 @@
     INITIAL_WORK_ESTIMATE,
     MAX_REPORTED_REQUESTS,
     MAX_REPORTED_WORK,
+    MIN_ROUTE_SHARE,
     OPEN_FLOW_LOAD,
+    ROUTE_REPORT_WEIGHT,
 )
 
 Address = tuple[str, int]
@@ -23,7 +25,8 @@
 
     ``offered_flows`` counts the flows offered since that report. ``work`` is the
     processing time of a request that the companion observed. Until ``unsure_until``,
-    the companion probably doesn't know all flows of its server.
+    the companion probably doesn't know all flows of its server. ``route_works`` has the
+    processing times on routes in milliseconds and the share of recent reports each.
     """
 
     server: BackendServer
@@ -39,6 +42,7 @@
     work: timedelta = INITIAL_WORK_ESTIMATE
     is_suspect: bool = False
     unsure_until: timedelta = timedelta()
+    route_works: dict[bytes, tuple[float, float]] = msgspec.field(default_factory=dict)
 
     def record_report(
         self, occupancy: int, flows: int, now: timedelta, work_ms: float = 0.0
@@ -52,6 +56,22 @@
         self.reported_at = now
         self.is_suspect = False
 
+    def average_work_ms(self, route: bytes, work_ms: float) -> float:
+        """Record the processing time on a route and return that of a usual request.
+
+        The requests ahead of a flow are of all routes.
+        """
+        works = {
+            other: (work, share * (1 - ROUTE_REPORT_WEIGHT))
+            for other, (work, share) in self.route_works.items()
+            if share > MIN_ROUTE_SHARE
+        }
+        share = works[route][1] if route in works else 0.0
+        works[route] = (work_ms, share + ROUTE_REPORT_WEIGHT)
+        self.route_works = works
+        total = sum(share for _, share in works.values())
+        return sum(work * share for work, share in works.values()) / total
+
     @property
     def slots(self) -> int:
         """Return the number of requests that the backend server runs concurrently."""
@@ -69,10 +89,13 @@
         return (self.estimated_requests(now) + self.flows * OPEN_FLOW_LOAD) / self.slots
 
 
-def is_plausible_report(occupancy: int, flows: int, work_ms: float) -> bool:
+def is_plausible_report(
+    occupancy: int, flows: int, work_ms: float, concurrency: int = 0
+) -> bool:
     """Return whether a load report may be believed."""
     return (
         0 <= occupancy <= MAX_REPORTED_REQUESTS
         and 0 <= flows <= MAX_REPORTED_REQUESTS
+        and 0 <= concurrency <= MAX_REPORTED_REQUESTS
         and 0 <= work_ms <= MAX_REPORTED_WORK / _MILLISECOND
     )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/const.py
@@ -27,3 +27,26 @@
 MAX_WAIT_SHARE: Final = 0.4
 # Limits the memory for waiting requests of services that work for less than 1 ms.
 MAX_REQUESTS_PER_SLOT: Final = 500
+# Speeds are compared with the work time that this share of the peers stays below. With
+# the median, servers would count as fast although most others are slow; and of a few
+# servers that answer quickly because they fail, the fastest would be the measure.
+SPEED_REFERENCE_SHARE: Final = 0.25
+# With fewer peers, one of them would be the measure of all others.
+MIN_SPEED_PEERS: Final = 4
+# Equal servers appear to differ by this factor, as averages of a few requests do.
+SPEED_TOLERANCE: Final = 1.35
+# Even a server that is slowed many times over gets a flow when all others are full.
+MIN_SPEED: Final = 0.125
+# A server's mix and speed change within seconds. A report counts in full for the first
+# time, and not at all after the second: then the server gets a flow, whose reply tells
+# whether it is still slow.
+SPEED_TRUSTED_FOR: Final = timedelta(seconds=4)
+SPEED_KEPT_FOR: Final = timedelta(seconds=12)
+# Comparing 200 servers takes 0.1 ms, and reports change the result slowly.
+SPEED_REFRESH_INTERVAL: Final = timedelta(milliseconds=100)
+# A speed is logged when it has changed by this factor.
+LOGGED_SPEED_CHANGE: Final = 1.25
+# The mix of a server's routes is taken from about its last ten reports.
+ROUTE_REPORT_WEIGHT: Final = 0.1
+# A route that 30 reports don't mention is forgotten.
+MIN_ROUTE_SHARE: Final = 0.005
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -2,7 +2,7 @@
 
 import abc
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -22,6 +22,7 @@
     companion: CompanionView
     limit: int
     load: float
+    speed: float = 1.0
 
 
 class PlacementContext(msgspec.Struct):
@@ -31,6 +32,7 @@
     selected by weight; ``alternatives`` are those of the other services of the route.
     Companions in ``declined`` had no free slot or did not reply; those in ``full`` also
     declined to queue the flow. ``max_wait`` is how long the flow may wait in a queue.
+    ``speeds`` has the servers that are slower than their peers; 1 is the usual speed.
     """
 
     preferred: Sequence[CompanionView]
@@ -39,6 +41,7 @@
     declined: list[CompanionView] = msgspec.field(default_factory=list)
     full: list[CompanionView] = msgspec.field(default_factory=list)
     max_wait: timedelta = DEFAULT_MAX_WAIT
+    speeds: Mapping[CompanionView, float] = msgspec.field(default_factory=dict)
 
     @property
     def others_declined(self) -> int:
@@ -100,7 +103,9 @@
         if queues := [each for each in queueable if not each.is_suspect]:
             return self._choose_shortest_queue(queues, context.max_wait, now)
         suspects = [each for each in queueable if each not in context.declined]
-        return self._choose_least_loaded(suspects, now) if suspects else None
+        if not suspects:
+            return None
+        return self._choose_least_loaded(suspects, context.speeds, now)
 
     def _choose_free_slot(
         self, pool: Sequence[CompanionView], context: PlacementContext, now: timedelta
@@ -113,15 +118,25 @@
             and not each.is_suspect
             and each.estimated_requests(now) < each.slots
         ]
-        return self._choose_least_loaded(free, now) if free else None
+        return self._choose_least_loaded(free, context.speeds, now) if free else None
 
     def _choose_least_loaded(
-        self, companions: Sequence[CompanionView], now: timedelta
+        self,
+        companions: Sequence[CompanionView],
+        speeds: Mapping[CompanionView, float],
+        now: timedelta,
     ) -> Choice:
-        """Return the companion with the lowest load, limited to its free slots."""
-        loads = [(self._load(each, now), each) for each in companions]
+        """Return the companion with the lowest load, limited to its free slots.
+
+        The load of a slow server is the one at which a server of usual speed would
+        complete the flow at the same time.
+        """
+        loads = []
+        for each in companions:
+            load, speed = self._load(each, now), speeds.get(each, 1.0)
+            loads.append(((load + 1) / speed - 1 if speed < 1 else load, each))
         load, chosen = min(loads, key=lambda pair: pair[0])
-        return Choice(chosen, chosen.slots, load)
+        return Choice(chosen, chosen.slots, load, speeds.get(chosen, 1.0))
 
     def _choose_shortest_queue(
         self, companions: Sequence[CompanionView], max_wait: timedelta, now: timedelta
