Learn how many concurrent requests a server takes well, if told to

Cause: the limit of a server was the slots that it registered. A server that slows down before all of them are in use got requests that only waited in it. Balancers take that number for its slots. Off by default; servers with one slot have nothing to learn. A queued offer is now marked as such, since its limit no longer tells.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -109,7 +109,7 @@
             if choice.companion in context.declined:
                 context.full.append(choice.companion)
             context.declined.append(choice.companion)
-            if choice.limit > choice.companion.server.slots:
+            if choice.may_wait:
                 context.full.append(choice.companion)
             outcomes.append(_format_outcome(choice, outcome))
         if not record.accepted_by:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/load_reports.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/load_reports.py
@@ -45,7 +45,9 @@
         ):
             now = self._clock.monotonic()
             work_ms = self._record_route_work(companion, reply, route, now)
-            companion.record_report(reply.occupancy, reply.flows, now, work_ms)
+            companion.record_report(
+                reply.occupancy, reply.flows, now, work_ms, reply.concurrency
+            )
             return
         self._counters.add("reports_implausible")
         identity = companion.server.identity
@@ -80,7 +82,7 @@
     return (
         isinstance(reply, OfferReply)
         and reply.outcome is not Outcome.OTHER_SERVICE
-        and companion.slots == 1
+        and companion.server.slots <= 1
         and reply.concurrency == 1
         and reply.work_ms > 0
     )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -27,6 +27,7 @@
     processing time of a request that the companion observed. Until ``unsure_until``,
     the companion probably doesn't know all flows of its server. ``route_works`` has the
     processing times on routes in milliseconds and the share of recent reports each.
+    ``concurrency`` is how many concurrent requests the server takes well; 0 if unknown.
     """
 
     server: BackendServer
@@ -42,14 +43,21 @@
     work: timedelta = INITIAL_WORK_ESTIMATE
     is_suspect: bool = False
     unsure_until: timedelta = timedelta()
+    concurrency: int = 0
     route_works: dict[bytes, tuple[float, float]] = msgspec.field(default_factory=dict)
 
     def record_report(
-        self, occupancy: int, flows: int, now: timedelta, work_ms: float = 0.0
+        self,
+        occupancy: int,
+        flows: int,
+        now: timedelta,
+        work_ms: float = 0.0,
+        concurrency: int = 0,
     ) -> None:
         """Record a load report of the companion."""
         if work_ms:
             self.work = work_ms * _MILLISECOND
+        self.concurrency = concurrency
         self.occupancy = occupancy
         self.flows = flows
         self.offered_flows = 0
@@ -75,7 +83,8 @@
     @property
     def slots(self) -> int:
         """Return the number of requests that the backend server runs concurrently."""
-        return max(1, self.server.slots)
+        slots = max(1, self.server.slots)
+        return min(slots, self.concurrency) if self.concurrency else slots
 
     def estimated_requests(self, now: timedelta) -> float:
         """Return the estimated number of requests that are not completed yet."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companions.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companions.py
@@ -73,6 +73,7 @@
             if view.server.started_ms != server.started_ms:
                 # With this time, the companion can tell whether it has all flows.
                 view.unsure_until = timedelta()
+                view.concurrency = 0
             view.server = server
             return view
         moved, host = view, server.endpoint.host
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -23,6 +23,7 @@
     limit: int
     load: float
     speed: float = 1.0
+    may_wait: bool = False
 
 
 class PlacementContext(msgspec.Struct):
@@ -145,7 +146,8 @@
         waits = [(self._load(each, now) * each.work, each) for each in companions]
         wait, chosen = min(waits, key=lambda pair: pair[0])
         per_slot = min(max(1, int(max_wait / chosen.work)), MAX_REQUESTS_PER_SLOT)
-        return Choice(chosen, chosen.slots * per_slot, wait / chosen.work)
+        limit, load = chosen.slots * per_slot, wait / chosen.work
+        return Choice(chosen, limit, load, may_wait=limit > chosen.slots)
 
     def _load(self, companion: CompanionView, now: timedelta) -> float:
         """Return the load, including the cost of a hop to another zone."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
@@ -26,3 +26,14 @@
 MAX_RESPONSE_FACTOR: Final = 3
 # Bounds the memory; servers of a service are reached at a few addresses.
 MAX_ROUTES: Final = 256
+# Averages about this many responses at each number of concurrent requests.
+LEVEL_RESPONSES: Final = 50
+MIN_LEVEL_RESPONSES: Final = 10.0
+# Without responses at a number of concurrent requests, what is known of it fades.
+MIN_LEVEL_WINDOW: Final = timedelta(seconds=10)
+LEVEL_WINDOW_WORK_FACTOR: Final = 100
+# More concurrent requests have to bring at least this share of the answers that they
+# would bring if they took no longer.
+MIN_GAIN_SHARE: Final = 0.25
+# Servers with many slots are observed at this many numbers of concurrent requests.
+MAX_LEVELS: Final = 16
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -84,7 +84,8 @@
 
     def handle_ping(self, number: int, balancer: Address) -> None:
         """Reply to a ping."""
-        self._send_message(encode(Pong(number, *self._load())), balancer)
+        pong = Pong(number, *self._load(), self._gate.limit or 0)
+        self._send_message(encode(pong), balancer)
 
     def handle_returned_opening(self, packet: Packet, entry: ServerFlow | None) -> None:
         """Decline an accepted offer whose opening packet the server refused."""
@@ -162,7 +163,7 @@
     ) -> int:
         """Send a balancer the outcome of its offer; return the reported load."""
         load, flows, work_ms = self._load()
-        concurrency = 0
+        concurrency = self._gate.limit or 0
         route_work_ms = self._gate.route_work_ms(flow, self._clock.monotonic())
         if route_work_ms is not None:
             work_ms, concurrency = route_work_ms, 1
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from pomelotrail_companion.request_queue import (
+    LearntConcurrency,
     OnTimeFirst,
     RequestQueue,
     RouteWork,
@@ -24,12 +25,22 @@
     forwarded at once.
     """
 
-    def __init__(self, flows: ServerFlows, estimate: WorkEstimate) -> None:
-        """Limit the requests of the server whose flows are tracked."""
+    def __init__(
+        self,
+        flows: ServerFlows,
+        estimate: WorkEstimate,
+        learnt: LearntConcurrency | None,
+    ) -> None:
+        """Limit the requests of the server whose flows are tracked.
+
+        Without ``learnt``, all slots are used.
+        """
         self._flows = flows
         self._estimate = estimate
         self._queue = RequestQueue(OnTimeFirst(), self._estimate)
         self._route_work = RouteWork()
+        self._learnt = learnt
+        self._limit: int | None = None
         self._slots: int | None = None
 
     def __len__(self) -> int:
@@ -52,10 +63,22 @@
         average = self._route_work.average(flow[PACKED_ENDPOINT_BYTES:], now)
         return average / MILLISECOND if average is not None else None
 
+    @property
+    def limit(self) -> int | None:
+        """Return the learnt number of concurrent requests; None if there is none."""
+        return self._limit
+
     def set_slots(self, slots: int) -> None:
         """Set the number of slots from the backend server's directory entry."""
         self._slots = max(1, slots)
 
+    def learn_concurrency(self, now: timedelta) -> list[str] | None:
+        """Update the limit; return the reasons if it has changed."""
+        if self._learnt is None or self._slots is None or self._slots == 1:
+            return None
+        previous, self._limit = self._limit, self._learnt.limit(self._slots, now)
+        return self._learnt.describe() if self._limit != previous else None
+
     def admit(self, entry: ServerFlow, packet: Packet, now: timedelta) -> bool:
         """Return whether to forward a packet now; queue it otherwise."""
         waiting = self._queue.get(entry.flow)
@@ -85,6 +108,8 @@
             self._estimate.record(duration)
             route = entry.flow[PACKED_ENDPOINT_BYTES:]
             self._route_work.record(route, duration, now)
+            if self._learnt is not None and self._slots is not None:
+                self._learnt.record(entry.concurrency, self._slots, duration, now)
         return duration
 
     def remove(self, flow: bytes) -> WaitingRequest | None:
@@ -104,4 +129,7 @@
 
     def _has_free_slot(self) -> bool:
         """Return whether the backend server can start a request at once."""
-        return self._slots is None or self._flows.running < self._slots
+        if self._slots is None:
+            return True
+        limit = min(self._limit or self._slots, self._slots)
+        return self._flows.running < limit
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -33,7 +33,8 @@
     accepted the flow. ``next_sequence`` is close to the next byte that the caller
     expects. ``idle_before`` is the time between the last two packets of the caller or
     the server. ``requested`` is set while a request is expected or in progress, and
-    ``started`` once it was forwarded to the backend server.
+    ``started`` once it was forwarded to the backend server; ``concurrency`` is the
+    number of requests that it then ran.
     """
 
     flow: bytes
@@ -43,6 +44,7 @@
     opened: timedelta = timedelta()
     offer_number: int = 0
     started: timedelta | None = None
+    concurrency: int = 0
     initial_sequence: int | None = None
     caller_end: int | None = None
     acknowledged: int | None = None
@@ -226,6 +228,7 @@
         """Record that the request of a flow goes to the backend server."""
         entry.started = now
         self._running[entry.flow] = entry
+        entry.concurrency = len(self._running)
 
     def record_response(self, entry: ServerFlow, now: timedelta) -> timedelta | None:
         """Record data of the backend server and return its processing time."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -2,7 +2,7 @@
 
 from datetime import datetime, timedelta
 
-from pomelotrail_companion.request_queue import WorkEstimate
+from pomelotrail_companion.request_queue import LearntConcurrency, WorkEstimate
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
@@ -56,12 +56,14 @@
         send_packet: SendDatagram,
         send_message: SendDatagram,
         send_to_server: SendDatagram,
+        learns_concurrency: bool = False,
     ) -> None:
         """Initialize the proxy of a backend server of the service.
 
         ``is_first_start`` means that no earlier process of this companion can have
         accepted flows; ``process_started`` is the time of day when this one started.
-        No flow lasts longer than ``max_flow_duration``.
+        No flow lasts longer than ``max_flow_duration``. With ``learns_concurrency``,
+        a server that slows down before it is full gets fewer concurrent requests.
         """
         self._addresses = addresses
         self._label = service_label(service)
@@ -74,7 +76,8 @@
         self._send_to_server = send_to_server
         estimate = WorkEstimate()
         self._flows = ServerFlows(estimate, max_flow_duration)
-        self._gate = RequestGate(self._flows, estimate)
+        learnt = LearntConcurrency() if learns_concurrency else None
+        self._gate = RequestGate(self._flows, estimate, learnt)
         self._ownership = Ownership(
             service,
             is_first_start,
@@ -162,9 +165,25 @@
                 idle_ms = _elapsed_ms(entry.last_used, now)
                 flow = flow_text(entry.flow)
                 self._log.write(_PART, "flow_expired", flow=flow, idle_ms=idle_ms)
+            self._learn_concurrency(now)
             self._release_requests(now)
             self._ownership.sweep(now)
 
+    def _learn_concurrency(self, now: timedelta) -> None:
+        """Update the limit on concurrent requests, and log a change."""
+        reasons = self._gate.learn_concurrency(now)
+        if reasons is None:
+            return
+        limit = self._gate.limit or 0
+        self._counters.set_gauge("concurrency_learnt", limit)
+        self._log.write(
+            _PART,
+            "concurrency_changed",
+            concurrency=limit,
+            work=reasons,
+            occupancy=self._flows.occupancy,
+        )
+
     def _handle_packet(self, data: bytes, balancer: Address) -> None:
         """Handle a packet of a balancer, whose messages port is given."""
         packet = self._codec.decode(data)
