Placement: idle peers before slow servers, also for queues

Cause: a slow server among the preferred ones was taken before idle servers that aren't preferred, and in the choice of a queue its longer work on the flow itself didn't count. Change: slow servers are left to the second step, in which all compete, and their longer work counts like a wait.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -89,7 +89,8 @@
 
     def choose(self, context: PlacementContext, now: timedelta) -> Choice | None:
         """Return the least loaded companion that has not declined."""
-        if chosen := self._choose_free_slot(context.preferred, context, now):
+        usual = [each for each in context.preferred if each not in context.speeds]
+        if chosen := self._choose_free_slot(usual, context, now):
             return chosen
         if context.others_declined < MAX_OTHERS_DECLINED and (
             chosen := self._choose_free_slot(context.candidates, context, now)
@@ -102,7 +103,7 @@
         allowed = [*context.candidates, *context.alternatives]
         queueable = [each for each in allowed if each not in context.full]
         if queues := [each for each in queueable if not each.is_suspect]:
-            return self._choose_shortest_queue(queues, context.max_wait, now)
+            return self._choose_shortest_queue(queues, context, now)
         suspects = [each for each in queueable if each not in context.declined]
         if not suspects:
             return None
@@ -140,14 +141,25 @@
         return Choice(chosen, chosen.slots, load, speeds.get(chosen, 1.0))
 
     def _choose_shortest_queue(
-        self, companions: Sequence[CompanionView], max_wait: timedelta, now: timedelta
+        self,
+        companions: Sequence[CompanionView],
+        context: PlacementContext,
+        now: timedelta,
     ) -> Choice:
-        """Return the companion where a flow waits for the shortest time."""
-        waits = [(self._load(each, now) * each.work, each) for each in companions]
+        """Return the companion where a flow waits for the shortest time.
+
+        A slow server works longer on the flow too, which counts like a wait.
+        """
+        waits = []
+        for each in companions:
+            longer = 1.0 - context.speeds.get(each, 1.0)
+            waits.append(((self._load(each, now) + longer) * each.work, each))
         wait, chosen = min(waits, key=lambda pair: pair[0])
-        per_slot = min(max(1, int(max_wait / chosen.work)), MAX_REQUESTS_PER_SLOT)
-        limit, load = chosen.slots * per_slot, wait / chosen.work
-        return Choice(chosen, limit, load, may_wait=limit > chosen.slots)
+        per_slot = max(1, int(context.max_wait / chosen.work))
+        limit = chosen.slots * min(per_slot, MAX_REQUESTS_PER_SLOT)
+        speed = context.speeds.get(chosen, 1.0)
+        may_wait = limit > chosen.slots
+        return Choice(chosen, limit, wait / chosen.work, speed, may_wait)
 
     def _load(self, companion: CompanionView, now: timedelta) -> float:
         """Return the load, including the cost of a hop to another zone."""
