--- /dev/null
+++ b/harness/tests/test_learnt_speed.py
@@ -0,0 +1,91 @@
+"""Tests of learnt speeds with many balancers, on a model without a network."""
+
+import statistics
+import unittest
+from collections.abc import Callable
+
+from .speed_model import SpeedModel
+
+_SERVERS = 16
+_SLOW = range(4)
+
+
+def _fixed(work_ms: float) -> Callable[[float], float]:
+    """Return the processing time of a server that doesn't change."""
+    return lambda _: work_ms
+
+
+def _slowed(start_s: float, end_s: float) -> Callable[[float], float]:
+    """Return the processing time of a server that is slowed five times."""
+    return lambda ms: 65.0 if start_s <= ms / 1000 < end_s else 13.0
+
+
+def _played(
+    slow: Callable[[float], float], learns: bool, seconds: int, per_s: float = 400
+) -> SpeedModel:
+    """Return the model after some seconds with four other servers of sixteen."""
+    others = [_fixed(13.0)] * (_SERVERS - len(_SLOW))
+    model = SpeedModel([slow] * len(_SLOW) + others, learns)
+    model.run(per_s, seconds)
+    return model
+
+
+def _slow_share(model: SpeedModel, second: int) -> float:
+    """Return the share of requests that the first servers got from a second on."""
+    placed = model.placed_from(second)
+    return sum(placed[index] for index in _SLOW) / placed.total()
+
+
+class LearntSpeedTest(unittest.TestCase):
+    """Eight balancers whose reports arrive 100 ms late."""
+
+    def test_two_speeds(self) -> None:
+        """Servers at less than half the speed get less, and callers wait for less."""
+        by_count = _played(_fixed(29.0), learns=False, seconds=8)
+        learnt = _played(_fixed(29.0), learns=True, seconds=8)
+        self.assertLess(_slow_share(learnt, 3), _slow_share(by_count, 3) * 0.7)
+        self.assertLess(
+            statistics.mean(learnt.delays_ms), statistics.mean(by_count.delays_ms)
+        )
+        self.assertLess(
+            statistics.quantiles(learnt.delays_ms, n=20)[-1],
+            statistics.quantiles(by_count.delays_ms, n=20)[-1],
+        )
+
+    def test_equal_servers(self) -> None:
+        """With equal servers, the delays are those of a placement by count."""
+        by_count = _played(_fixed(13.0), learns=False, seconds=8)
+        learnt = _played(_fixed(13.0), learns=True, seconds=8)
+        self.assertLess(
+            statistics.mean(learnt.delays_ms),
+            statistics.mean(by_count.delays_ms) * 1.03,
+        )
+
+    def test_no_herd_and_no_swing(self) -> None:
+        """At a steady load, the servers' shares don't swing from second to second."""
+        model = _played(_fixed(29.0), learns=True, seconds=12)
+        seconds = model.placed[3:12]
+        fast = range(len(_SLOW), _SERVERS)
+        for placed in seconds:
+            mean = sum(placed[index] for index in fast) / len(fast)
+            self.assertLess(max(placed[index] for index in fast), mean * 1.7)
+        shares = [
+            sum(placed[index] for index in _SLOW) / placed.total() for placed in seconds
+        ]
+        self.assertLess(max(shares) - min(shares), 0.12)
+
+    def test_slowed_for_seconds(self) -> None:
+        """Servers that are slowed for three seconds lose their share, and get it back.
+
+        The last report ages for 12 seconds at most.
+        """
+        model = _played(_slowed(3, 6), learns=True, seconds=22)
+        placed = model.placed
+        during = sum(placed[5][index] for index in _SLOW)
+        self.assertLess(during / placed[5].total(), 0.1)
+        self.assertGreater(_slow_share(model, 20), 0.2)
+
+    def test_overload_with_two_speeds(self) -> None:
+        """When the fast servers don't suffice, the slow ones are used as well."""
+        model = _played(_fixed(29.0), learns=True, seconds=6, per_s=950)
+        self.assertGreater(_slow_share(model, 2), 0.08)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_policy.py
@@ -154,3 +154,22 @@
             companions[number - 1].offered_flows += 1
             placed[number] += 1
         self.assertEqual(set(placed.values()), {4})
+
+    def test_slow_server_when_the_others_are_busier(self) -> None:
+        """A server at half speed is as good as one with a request ahead."""
+        slow, other = companion(1, slots=1), companion(2, slots=1)
+        speeds = {slow: 0.5}
+        self.assertEqual(self.choose(slow, other, speeds=speeds), (2, 1))
+        other.flows = 10
+        self.assertEqual(self.choose(slow, other, speeds=speeds), (2, 1))
+        other.record_report(1, 0, _NOW)
+        self.assertEqual(self.choose(slow, other, speeds=speeds), (1, 1))
+
+    def test_learnt_concurrency_limits_the_free_slots(self) -> None:
+        """A server that takes two requests well is full with two of eight slots."""
+        limited, other = companion(1, slots=8), companion(2, 7, slots=8)
+        limited.record_report(2, 0, _NOW, concurrency=2)
+        other.record_report(7, 0, _NOW)
+        self.assertEqual(self.choose(limited, other), (2, 8))
+        limited.record_report(1, 0, _NOW, concurrency=2)
+        self.assertEqual(self.choose(limited), (1, 2))
