Tests of late and lost reports, of the gate and of the option

The number of concurrent requests of an answer is the mean of those at its start and its end: at the start alone, requests of one burst counted as if some had run alone.

--- a/harness/tests/speed_model.py
+++ b/harness/tests/speed_model.py
@@ -24,6 +24,8 @@
 _ROUTE = b"route"
 _PREFERRED = 7
 _MAX_OFFERS = 14
+_REPLY_TIMEOUT_MS = 40
+_PING_INTERVAL_MS = 200
 
 
 class SilentLog(EventLog):
@@ -78,7 +80,9 @@
 
 
 class SpeedModel:
-    """Requests of many balancers, whose reports arrive ``delay_ms`` late::
+    """Requests of many balancers; of their reports, ``lost`` is the share lost.
+
+    Reports arrive ``delay_ms`` late::
 
     model = SpeedModel([lambda ms: 13.0] * 16, learns=True)
     model.run(per_s=400, seconds=8)
@@ -90,6 +94,7 @@
         learns: bool,
         balancers: int = 8,
         delay_ms: float = 100,
+        lost: float = 0.0,
     ) -> None:
         """Initialize idle servers with the processing time at a time of the day."""
         self._rng = random.Random(1)
@@ -98,6 +103,7 @@
             ModelBalancer(len(works_ms), self._rng, learns) for _ in range(balancers)
         ]
         self._delay_ms = delay_ms
+        self._lost = lost
         self._numbers = itertools.count()
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self.placed: list[Counter[int]] = []
@@ -160,7 +166,19 @@
             if work is not None:
                 balancer.speeds.record(view, _ROUTE, work, at * _MILLISECOND)
 
-        self._at(now + self._delay_ms, receive)
+        def suspect(_: float) -> None:
+            """Avoid the server until it answers a ping."""
+            view.is_suspect = True
+
+        def receive_pong(at: float) -> None:
+            """Record the report in the answer to a ping."""
+            view.record_report(len(server.waiting), 0, at * _MILLISECOND)
+
+        if self._lost == 0.0 or self._rng.random() >= self._lost:
+            self._at(now + self._delay_ms, receive)
+        else:
+            self._at(now + _REPLY_TIMEOUT_MS, suspect)
+            self._at(now + _REPLY_TIMEOUT_MS + _PING_INTERVAL_MS, receive_pong)
 
     def _start(self, server: ModelServer, now: float) -> None:
         """Work on the first waiting request."""
--- a/harness/tests/test_learnt_speed.py
+++ b/harness/tests/test_learnt_speed.py
@@ -21,11 +21,15 @@
 
 
 def _played(
-    slow: Callable[[float], float], learns: bool, seconds: int, per_s: float = 400
+    slow: Callable[[float], float],
+    learns: bool,
+    seconds: int,
+    per_s: float = 400,
+    **network: float,
 ) -> SpeedModel:
     """Return the model after some seconds with four other servers of sixteen."""
     others = [_fixed(13.0)] * (_SERVERS - len(_SLOW))
-    model = SpeedModel([slow] * len(_SLOW) + others, learns)
+    model = SpeedModel([slow] * len(_SLOW) + others, learns, **network)
     model.run(per_s, seconds)
     return model
 
@@ -89,3 +93,12 @@
         """When the fast servers don't suffice, the slow ones are used as well."""
         model = _played(_fixed(29.0), learns=True, seconds=6, per_s=950)
         self.assertGreater(_slow_share(model, 2), 0.08)
+
+    def test_lost_and_late_reports(self) -> None:
+        """With most reports lost and the others late, callers wait no longer."""
+        network = {"lost": 0.7, "delay_ms": 800}
+        by_count = _played(_fixed(29.0), learns=False, seconds=8, **network)
+        learnt = _played(_fixed(29.0), learns=True, seconds=8, **network)
+        self.assertLess(
+            statistics.mean(learnt.delays_ms), statistics.mean(by_count.delays_ms)
+        )
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
@@ -103,13 +103,15 @@
 
     def record_response(self, entry: ServerFlow, now: timedelta) -> timedelta | None:
         """Record the start of a response and return the processing time."""
+        # The number of other requests changes while a request runs.
+        running = (entry.concurrency + self._flows.running + 1) // 2
         duration = self._flows.record_response(entry, now)
         if duration is not None:
             self._estimate.record(duration)
             route = entry.flow[PACKED_ENDPOINT_BYTES:]
             self._route_work.record(route, duration, now)
             if self._learnt is not None and self._slots is not None:
-                self._learnt.record(entry.concurrency, self._slots, duration, now)
+                self._learnt.record(running, self._slots, duration, now)
         return duration
 
     def remove(self, flow: bytes) -> WaitingRequest | None:
