Speeds: evidence of all routes of a service, kept for longer

Cause: a balancer has a report of each server and route every five to ten seconds only, so most speeds had faded before the next one. A server's speed is mostly the same on all its routes. Change: work times are still compared for the same route only, and a server's speed is the mean over its routes, weighted by age. Reports count in full for 8 s and fade until 24 s; while servers are busy, slow ones get flows anyway. Averages of the companion cover 4 s, and a route without evidence starts anew.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -135,17 +135,15 @@
             usable,
             alternatives,
             max_wait=route.timeout * MAX_WAIT_SHARE,
-            speeds=self._slow_servers(route, packet.receiver),
+            speeds=self._slow_servers(route),
         )
 
-    def _slow_servers(
-        self, route: Route, address: bytes
-    ) -> Mapping[CompanionView, float]:
+    def _slow_servers(self, route: Route) -> Mapping[CompanionView, float]:
         """Return the speeds of the slow servers of a route's services."""
         now = self._clock.monotonic()
         speeds: dict[CompanionView, float] = {}
         for service in route.services:
-            speeds.update(self._speeds.slow_servers(service, address, now))
+            speeds.update(self._speeds.slow_servers(service, now))
         return speeds
 
     def _refuse(self, packet: Packet, service: str, outcomes: list[str]) -> None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/const.py
@@ -37,11 +37,12 @@
 SPEED_TOLERANCE: Final = 1.35
 # Even a server that is slowed many times over gets a flow when all others are full.
 MIN_SPEED: Final = 0.125
-# A server's mix and speed change within seconds. A report counts in full for the first
-# time, and not at all after the second: then the server gets a flow, whose reply tells
-# whether it is still slow.
-SPEED_TRUSTED_FOR: Final = timedelta(seconds=4)
-SPEED_KEPT_FOR: Final = timedelta(seconds=12)
+# A report counts in full for the first time, and not at all after the second: then the
+# server gets a flow, whose reply tells whether it is still slow. A balancer offers a
+# flow to one of many servers every few seconds. While servers are busy, slow ones get
+# flows in any case.
+SPEED_TRUSTED_FOR: Final = timedelta(seconds=8)
+SPEED_KEPT_FOR: Final = timedelta(seconds=24)
 # Comparing 200 servers takes 0.1 ms, and reports change the result slowly.
 SPEED_REFRESH_INTERVAL: Final = timedelta(milliseconds=100)
 # A speed is logged when it has changed by this factor.
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/server_speeds.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/server_speeds.py
@@ -1,5 +1,6 @@
 """Speeds of the backend servers beside their peers, from reported work times."""
 
+import math
 from collections.abc import Mapping
 from datetime import timedelta
 
@@ -30,83 +31,110 @@
     reported_at: timedelta
     started_ms: int | None
 
+    def is_kept(self, companion: CompanionView, now: timedelta) -> bool:
+        """Return whether the report is recent and of the server's present process."""
+        is_recent = now - self.reported_at < SPEED_KEPT_FOR
+        return is_recent and self.started_ms == companion.server.started_ms
+
+    def weight(self, now: timedelta) -> float:
+        """Return how much the report counts: 1 at first, and 0 when it is old."""
+        left = SPEED_KEPT_FOR - (now - self.reported_at)
+        return min(1.0, left / (SPEED_KEPT_FOR - SPEED_TRUSTED_FOR))
+
+
+class _Evidence(msgspec.Struct):
+    """What the reports of one server say, over all routes.
+
+    ``log_ratio`` is the weighted sum of the logarithms of its work times, relative to
+    those of the peers; ``newest`` is the weight of the most recent report.
+    """
+
+    log_ratio: float = 0.0
+    weight: float = 0.0
+    newest: float = 0.0
+    reports: int = 0
+
+    @property
+    def ratio(self) -> float:
+        """Return how many times as long the server works as its peers."""
+        return math.exp(self.log_ratio / self.weight)
+
+    @property
+    def speed(self) -> float:
+        """Return the speed, which returns to 1 as the reports age."""
+        speed = min(1.0, max(MIN_SPEED, SPEED_TOLERANCE / self.ratio))
+        return 1.0 - (1.0 - speed) * self.newest
+
 
 class _Peers(msgspec.Struct):
-    """The reports of a service on one route, and the speeds that follow from them.
+    """The reports of the servers of a service by route, and their speeds below 1.
 
-    ``logged`` has the speeds below 1 that were last logged.
+    ``logged`` has the speeds that were last logged.
     """
 
-    reports: dict[CompanionView, _Report] = msgspec.field(default_factory=dict)
+    reports: dict[bytes, dict[CompanionView, _Report]] = msgspec.field(
+        default_factory=dict
+    )
     speeds: dict[CompanionView, float] = msgspec.field(default_factory=dict)
     logged: dict[CompanionView, float] = msgspec.field(default_factory=dict)
     compared_at: timedelta | None = None
 
 
 class ServerSpeeds:
-    """Determines which servers of a service are slower than their peers on a route.
+    """Determines which servers of a service are slower than their peers.
 
     Handles this load pattern: servers of one service, with one slot each, differ in
     speed by a factor of two, and some are slowed five times for seconds. A server with
     one slot is idle or busy, so by the number of its requests a slow server gets as
     many flows as a fast one.
 
-    A speed is at most 1, that of a quarter of the peers: a server that answers quickly
-    because it fails gains nothing. Small differences are ignored, and so are all if a
-    whole service slows down. A speed returns to 1 as its report ages, so that a server
-    without flows is tried again.
+    Work times are compared for the same route only, since the mix of a server's routes
+    changes; the speed of a server is the mean over the routes. It is at most 1, that of
+    a quarter of the peers: a server that answers quickly because it fails gains
+    nothing. Small differences are ignored, and so are all if a whole service slows
+    down. A speed returns to 1 as its reports age, so that a server without flows is
+    tried again.
     """
 
     def __init__(self, log: EventLog, counters: Counters) -> None:
         """Initialize without reports."""
         self._log = log
         self._counters = counters
-        self._peers: dict[tuple[str, bytes], _Peers] = {}
+        self._peers: dict[str, _Peers] = {}
 
     def record(
         self, companion: CompanionView, route: bytes, work: timedelta, now: timedelta
     ) -> None:
         """Record the recent processing time of a server on a route."""
         server = companion.server
-        peers = self._peers.setdefault((server.service, route), _Peers())
-        peers.reports[companion] = _Report(work, now, server.started_ms)
+        peers = self._peers.setdefault(server.service, _Peers())
+        reports = peers.reports.setdefault(route, {})
+        reports[companion] = _Report(work, now, server.started_ms)
 
     def slow_servers(
-        self, service: str, route: bytes, now: timedelta
+        self, service: str, now: timedelta
     ) -> Mapping[CompanionView, float]:
         """Return the speeds of the servers that are slower than their peers."""
-        peers = self._peers.get((service, route))
+        peers = self._peers.get(service)
         if peers is None:
             return {}
         compared_at = peers.compared_at
         if compared_at is None or now - compared_at >= SPEED_REFRESH_INTERVAL:
             peers.compared_at = now
-            self._compare(peers, now)
-            self._log_changes(service, peers, now)
+            evidence = _compare(peers, now)
+            peers.speeds = {
+                companion: known.speed
+                for companion, known in evidence.items()
+                if known.speed < 1.0
+            }
+            self._log_changes(service, peers, evidence)
             if not peers.reports:
-                del self._peers[service, route]
+                del self._peers[service]
         return peers.speeds
 
-    def _compare(self, peers: _Peers, now: timedelta) -> None:
-        """Drop old reports and determine the speeds from the others."""
-        peers.reports = {
-            companion: report
-            for companion, report in peers.reports.items()
-            if now - report.reported_at < SPEED_KEPT_FOR
-            and report.started_ms == companion.server.started_ms
-        }
-        peers.speeds = {}
-        if len(peers.reports) < MIN_SPEED_PEERS:
-            return
-        works = sorted(report.work for report in peers.reports.values())
-        reference = works[int(len(works) * SPEED_REFERENCE_SHARE)] * SPEED_TOLERANCE
-        for companion, report in peers.reports.items():
-            if report.work > reference:
-                speed = max(MIN_SPEED, reference / report.work)
-                age = now - report.reported_at
-                peers.speeds[companion] = _faded(speed, age)
-
-    def _log_changes(self, service: str, peers: _Peers, now: timedelta) -> None:
+    def _log_changes(
+        self, service: str, peers: _Peers, evidence: dict[CompanionView, _Evidence]
+    ) -> None:
         """Log each server whose speed has changed, and count the slow ones."""
         for companion in {**peers.logged, **peers.speeds}:
             speed = peers.speeds.get(companion, 1.0)
@@ -120,26 +148,43 @@
                 del peers.logged[companion]
             else:
                 peers.logged[companion] = speed
-            report = peers.reports.get(companion)
+            known = evidence.get(companion)
             self._log.write(
                 "companions",
                 "speed_changed",
                 server=companion.server.identity,
                 service=service,
                 speed=round(speed, 2),
-                work_ms=round(report.work / _MILLISECOND, 1) if report else -1,
-                report_age_ms=(now - report.reported_at) // _MILLISECOND
-                if report
-                else -1,
-                peers=len(peers.reports),
+                work_ratio=round(known.ratio, 2) if known is not None else None,
+                weight=round(known.newest, 2) if known is not None else 0.0,
+                reports=known.reports if known is not None else 0,
+                peers=len(evidence),
             )
-        slow = {each for group in self._peers.values() for each in group.logged}
-        self._counters.set_gauge("servers_slow", len(slow))
+        slow = sum(len(group.logged) for group in self._peers.values())
+        self._counters.set_gauge("servers_slow", slow)
 
 
-def _faded(speed: float, age: timedelta) -> float:
-    """Return a speed that returns to 1 as its report ages."""
-    if age <= SPEED_TRUSTED_FOR:
-        return speed
-    share = (age - SPEED_TRUSTED_FOR) / (SPEED_KEPT_FOR - SPEED_TRUSTED_FOR)
-    return speed + (1.0 - speed) * min(1.0, share)
+def _compare(peers: _Peers, now: timedelta) -> dict[CompanionView, _Evidence]:
+    """Drop old reports and return what the others say about each server."""
+    evidence: dict[CompanionView, _Evidence] = {}
+    for route, known in list(peers.reports.items()):
+        reports = {
+            companion: report
+            for companion, report in known.items()
+            if report.is_kept(companion, now)
+        }
+        peers.reports[route] = reports
+        if not reports:
+            del peers.reports[route]
+        if len(reports) < MIN_SPEED_PEERS:
+            continue
+        works = sorted(report.work for report in reports.values())
+        reference = works[int(len(works) * SPEED_REFERENCE_SHARE)]
+        for companion, report in reports.items():
+            found = evidence.setdefault(companion, _Evidence())
+            weight = report.weight(now)
+            found.log_ratio += weight * math.log(report.work / reference)
+            found.weight += weight
+            found.newest = max(found.newest, weight)
+            found.reports += 1
+    return evidence
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
@@ -17,10 +17,12 @@
 SPEED_RESPONSES: Final = 20
 # Older responses say little about the server's present speed. At the full rate of a
 # slow server, the average covers twice as many responses as it needs.
-MIN_SPEED_WINDOW: Final = timedelta(seconds=2)
+MIN_SPEED_WINDOW: Final = timedelta(seconds=4)
 SPEED_WINDOW_WORK_FACTOR: Final = 40
 # Below this many recent responses, the average is mostly chance.
 MIN_SPEED_RESPONSES: Final = 3.0
+# Averages of less than half a response start anew.
+MIN_KEPT_EVIDENCE: Final = 0.5
 # A few requests take many times as long as the others of their kind. They count as
 # this multiple of the average, which still follows a server that slows down.
 MAX_RESPONSE_FACTOR: Final = 3
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/route_work.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/route_work.py
@@ -8,6 +8,7 @@
 from .const import (
     MAX_RESPONSE_FACTOR,
     MAX_ROUTES,
+    MIN_KEPT_EVIDENCE,
     MIN_SPEED_RESPONSES,
     MIN_SPEED_WINDOW,
     SPEED_RESPONSES,
@@ -44,13 +45,14 @@
 
     def record(self, route: bytes, duration: timedelta, now: timedelta) -> None:
         """Include the processing time of a request that was answered."""
-        work = self._works.get(route)
-        if work is None:
+        work = self._works.pop(route, None)
+        evidence = work.evidence(now) if work is not None else 0.0
+        if work is None or evidence < MIN_KEPT_EVIDENCE:
             if len(self._works) >= MAX_ROUTES:
                 del self._works[next(iter(self._works))]
             self._works[route] = _Work(duration, 1.0, now)
             return
-        evidence = work.evidence(now)
+        self._works[route] = work
         if evidence >= MIN_SPEED_RESPONSES:
             duration = min(duration, work.average * MAX_RESPONSE_FACTOR)
         work.responses = min(evidence + 1.0, SPEED_RESPONSES)
