--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_policy.py
@@ -158,12 +158,22 @@
     def test_slow_server_when_the_others_are_busier(self) -> None:
         """A server at half speed is as good as one with a request ahead."""
         slow, other = companion(1, slots=1), companion(2, slots=1)
-        speeds = {slow: 0.5}
-        self.assertEqual(self.choose(slow, other, speeds=speeds), (2, 1))
-        other.flows = 10
-        self.assertEqual(self.choose(slow, other, speeds=speeds), (2, 1))
+        known = {"speeds": {slow: 0.5}, "preferred": [slow]}
+        self.assertEqual(self.choose(slow, other, **known), (2, 1))
+        other.flows = 14
+        self.assertEqual(self.choose(slow, other, **known), (2, 1))
+        other.flows = 20
+        self.assertEqual(self.choose(slow, other, **known), (1, 1))
         other.record_report(1, 0, _NOW)
-        self.assertEqual(self.choose(slow, other, speeds=speeds), (1, 1))
+        self.assertEqual(self.choose(slow, other, **known), (1, 1))
+
+    def test_slow_server_in_a_queue(self) -> None:
+        """The longer work of a slow server on the flow itself counts like a wait."""
+        slow, other = companion(1, slots=1), companion(2, slots=1)
+        slow.record_report(1, 0, _NOW, 30)
+        other.record_report(3, 0, _NOW, 13)
+        self.assertEqual(self.choose(slow, other)[0], 1)
+        self.assertEqual(self.choose(slow, other, speeds={slow: 0.5})[0], 2)
 
     def test_learnt_concurrency_limits_the_free_slots(self) -> None:
         """A server that takes two requests well is full with two of eight slots."""
