--- a/harness/tests/test_learnt_speed.py
+++ b/harness/tests/test_learnt_speed.py
@@ -4,7 +4,7 @@
 import unittest
 from collections.abc import Callable
 
-from .speed_model import SpeedModel
+from harness.speed_model import SpeedModel
 
 _SERVERS = 16
 _SLOW = range(4)
