--- a/harness/tests/test_learnt_speed.py
+++ b/harness/tests/test_learnt_speed.py
@@ -1,10 +1,13 @@
 """Tests of learnt speeds with many balancers, on a model without a network."""
 
+import asyncio
 import statistics
 import unittest
 from collections.abc import Callable
 
+from harness.flow_fleet import FlowFleet
 from harness.speed_model import SpeedModel
+from harness.virtual_time import run_in_virtual_time
 
 _SERVERS = 16
 _SLOW = range(4)
@@ -102,3 +105,32 @@
         self.assertLess(
             statistics.mean(learnt.delays_ms), statistics.mean(by_count.delays_ms)
         )
+
+
+class FleetTest(unittest.TestCase):
+    """Companions and a balancer with their messages, and ten servers."""
+
+    def test_slow_server_gets_fewer_flows(self) -> None:
+        """One of ten servers with one slot works five times as long."""
+
+        async def async_run() -> list[int]:
+            """Return the flows of the servers, the slow one first, once it is known."""
+            fleet = FlowFleet(servers=10, slots=1)
+            servers = list(fleet.servers.values())
+            for server in servers:
+                server.work_s = 0.02
+            servers[0].work_s = 0.1
+            before: list[int] = []
+            tasks = []
+            for number in range(1_200):
+                if number == 600:
+                    before = [len(server.opening_times) for server in servers]
+                caller = fleet.caller()
+                tasks.append(asyncio.create_task(caller.async_open_and_request(b"one")))
+                await asyncio.sleep(0.01)
+            after = [len(server.opening_times) for server in servers]
+            return [end - start for start, end in zip(before, after, strict=True)]
+
+        slow, *others = run_in_virtual_time(async_run())
+        self.assertLess(slow, statistics.mean(others) / 4)
+        self.assertLess(max(others), statistics.mean(others) * 1.7)
