--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 
 from pomelotrail_balancer.placement import (
     Choice,
     Companions,
+    CompanionView,
     PlacementContext,
     PlacementPolicy,
+    ServerSpeeds,
 )
 from pomelotrail_balancer.placement.const import MAX_WAIT_SHARE
 from pomelotrail_core.clock import Clock
@@ -44,6 +46,7 @@
         companions: Companions,
         policy: PlacementPolicy,
         offers: OfferExchange,
+        speeds: ServerSpeeds,
         clock: Clock,
         log: EventLog,
         counters: Counters,
@@ -54,6 +57,7 @@
         self._companions = companions
         self._policy = policy
         self._offers = offers
+        self._speeds = speeds
         self._clock = clock
         self._log = log
         self._counters = counters
@@ -132,8 +136,17 @@
             max_wait=route.timeout * MAX_WAIT_SHARE,
             target=route.target_latency,
             first_sent=self._clock.monotonic() - _time_until(packet),
+            speeds=self._slow_servers(route),
         )
 
+    def _slow_servers(self, route: Route) -> Mapping[CompanionView, float]:
+        """Return the speeds of the slow servers of a route's services."""
+        now = self._clock.monotonic()
+        speeds: dict[CompanionView, float] = {}
+        for service in route.services:
+            speeds.update(self._speeds.slow_servers(service, now))
+        return speeds
+
     def _refuse(
         self, packet: Packet, service: str, route: Route, outcomes: list[str]
     ) -> None:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/__init__.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/__init__.py
@@ -4,6 +4,7 @@
 from .companion_view import CompanionView, is_plausible_report
 from .companions import Companions
 from .policy import Choice, PlacementContext, PlacementPolicy, ShortestQueue
+from .server_speeds import ServerSpeeds
 
 __all__ = [
     "Choice",
@@ -11,6 +12,7 @@
     "Companions",
     "PlacementBySlots",
     "PlacementPolicy",
+    "ServerSpeeds",
     "ShortestQueue",
     "PlacementContext",
     "is_plausible_report",
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -11,7 +11,9 @@
     MAX_REPORTED_REQUESTS,
     MAX_REPORTED_WAIT,
     MAX_REPORTED_WORK,
+    MIN_ROUTE_SHARE,
     OPEN_FLOW_LOAD,
+    ROUTE_REPORT_WEIGHT,
 )
 
 Address = tuple[str, int]
@@ -26,6 +28,9 @@
     processing time of a request that the companion observed. ``wait`` is the time that
     a flow which can meet its target waited for a slot at ``wait_reported_at``. Until
     ``unsure_until``, the companion probably doesn't know all flows of its server.
+    ``route_works`` has the processing times on routes in milliseconds and the share of
+    recent reports each. ``concurrency`` is how many concurrent requests the server
+    takes well; 0 if unknown.
     """
 
     server: BackendServer
@@ -43,23 +48,48 @@
     wait_reported_at: timedelta | None = None
     is_suspect: bool = False
     unsure_until: timedelta = timedelta()
+    concurrency: int = 0
+    route_works: dict[bytes, tuple[float, float]] = msgspec.field(default_factory=dict)
 
     def record_report(
-        self, occupancy: int, flows: int, now: timedelta, work_ms: float = 0.0
+        self,
+        occupancy: int,
+        flows: int,
+        now: timedelta,
+        work_ms: float = 0.0,
+        concurrency: int = 0,
     ) -> None:
         """Record a load report of the companion."""
         if work_ms:
             self.work = work_ms * _MILLISECOND
+        self.concurrency = concurrency
         self.occupancy = occupancy
         self.flows = flows
         self.offered_flows = 0
         self.reported_at = now
         self.is_suspect = False
 
+    def average_work_ms(self, route: bytes, work_ms: float) -> float:
+        """Record the processing time on a route and return that of a usual request.
+
+        The requests ahead of a flow are of all routes.
+        """
+        works = {
+            other: (work, share * (1 - ROUTE_REPORT_WEIGHT))
+            for other, (work, share) in self.route_works.items()
+            if share > MIN_ROUTE_SHARE
+        }
+        share = works[route][1] if route in works else 0.0
+        works[route] = (work_ms, share + ROUTE_REPORT_WEIGHT)
+        self.route_works = works
+        total = sum(share for _, share in works.values())
+        return sum(work * share for work, share in works.values()) / total
+
     @property
     def slots(self) -> int:
         """Return the number of requests that the backend server runs concurrently."""
-        return max(1, self.server.slots)
+        slots = max(1, self.server.slots)
+        return min(slots, self.concurrency) if self.concurrency else slots
 
     def estimated_requests(self, now: timedelta) -> float:
         """Return the estimated number of requests that are not completed yet."""
@@ -86,12 +116,17 @@
 
 
 def is_plausible_report(
-    occupancy: int, flows: int, work_ms: float, wait_ms: float = 0.0
+    occupancy: int,
+    flows: int,
+    work_ms: float,
+    concurrency: int = 0,
+    wait_ms: float = 0.0,
 ) -> bool:
     """Return whether a load report may be believed."""
     return (
         0 <= wait_ms <= MAX_REPORTED_WAIT / _MILLISECOND
         and 0 <= occupancy <= MAX_REPORTED_REQUESTS
         and 0 <= flows <= MAX_REPORTED_REQUESTS
+        and 0 <= concurrency <= MAX_REPORTED_REQUESTS
         and 0 <= work_ms <= MAX_REPORTED_WORK / _MILLISECOND
     )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -3,7 +3,7 @@
 import abc
 import itertools
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -28,6 +28,8 @@
     companion: CompanionView
     limit: int
     load: float
+    speed: float = 1.0
+    may_wait: bool = False
     age: timedelta | None = None
     max_wait: timedelta | None = None
 
@@ -42,6 +44,7 @@
     its target. ``late_declines`` counts those that had no room even for a late flow.
     ``max_wait`` is how long the flow may wait in a queue; ``first_sent`` is
     when the caller first sent its opening packet, by the clock of this process.
+    ``speeds`` has the servers that are slower than their peers; 1 is the usual speed.
     """
 
     preferred: Sequence[CompanionView]
@@ -54,12 +57,13 @@
     max_wait: timedelta = DEFAULT_MAX_WAIT
     target: timedelta = DEFAULT_TARGET
     first_sent: timedelta = timedelta()
+    speeds: Mapping[CompanionView, float] = msgspec.field(default_factory=dict)
 
     @property
     def has_single_slots(self) -> bool:
         """Return whether every server of the route runs one request at a time."""
         companions = itertools.chain(self.candidates, self.alternatives)
-        return all(each.slots == 1 for each in companions)
+        return all(each.server.slots <= 1 for each in companions)
 
     @property
     def others_declined(self) -> int:
@@ -93,7 +97,7 @@
         elif companion in self.declined:
             self.full.append(companion)
         self.declined.append(companion)
-        if choice.limit > companion.server.slots:
+        if choice.may_wait:
             self.full.append(companion)
 
 
@@ -130,7 +134,8 @@
 
     def choose(self, context: PlacementContext, now: timedelta) -> Choice | None:
         """Return the least loaded companion that has not declined."""
-        if chosen := self._choose_free_slot(context.preferred, context, now):
+        usual = [each for each in context.preferred if each not in context.speeds]
+        if chosen := self._choose_free_slot(usual, context, now):
             return chosen
         if context.others_declined < MAX_OTHERS_DECLINED and (
             chosen := self._choose_free_slot(context.candidates, context, now)
@@ -145,7 +150,9 @@
         if queues := [each for each in queueable if not each.is_suspect]:
             return self._choose_queue(queues, context, now)
         suspects = [each for each in queueable if each not in context.declined]
-        return self._choose_least_loaded(suspects, now) if suspects else None
+        if not suspects:
+            return None
+        return self._choose_least_loaded(suspects, context.speeds, now)
 
     def _choose_free_slot(
         self, pool: Sequence[CompanionView], context: PlacementContext, now: timedelta
@@ -158,15 +165,25 @@
             and not each.is_suspect
             and each.estimated_requests(now) < each.slots
         ]
-        return self._choose_least_loaded(free, now) if free else None
+        return self._choose_least_loaded(free, context.speeds, now) if free else None
 
     def _choose_least_loaded(
-        self, companions: Sequence[CompanionView], now: timedelta
+        self,
+        companions: Sequence[CompanionView],
+        speeds: Mapping[CompanionView, float],
+        now: timedelta,
     ) -> Choice:
-        """Return the companion with the lowest load, limited to its free slots."""
-        loads = [(self._load(each, now), each) for each in companions]
+        """Return the companion with the lowest load, limited to its free slots.
+
+        The load of a slow server is the one at which a server of usual speed would
+        complete the flow at the same time.
+        """
+        loads = []
+        for each in companions:
+            load, speed = self._load(each, now), speeds.get(each, 1.0)
+            loads.append(((load + 1) / speed - 1 if speed < 1 else load, each))
         load, chosen = min(loads, key=lambda pair: pair[0])
-        return Choice(chosen, chosen.slots, load)
+        return Choice(chosen, chosen.slots, load, speeds.get(chosen, 1.0))
 
     def _choose_queue(
         self,
@@ -174,12 +191,20 @@
         context: PlacementContext,
         now: timedelta,
     ) -> Choice | None:
-        """Return the companion where a flow waits for the shortest time."""
-        waits = [(self._load(each, now) * each.work, each) for each in companions]
+        """Return the companion where a flow waits for the shortest time.
+
+        A slow server works longer on the flow too, which counts like a wait.
+        """
+        waits = []
+        for each in companions:
+            longer = 1.0 - context.speeds.get(each, 1.0)
+            waits.append(((self._load(each, now) + longer) * each.work, each))
         wait, chosen = min(waits, key=lambda pair: pair[0])
         per_slot = max(1, int(context.max_wait / chosen.work))
-        per_slot = min(per_slot, MAX_REQUESTS_PER_SLOT)
-        return Choice(chosen, chosen.slots * per_slot, wait / chosen.work)
+        limit = chosen.slots * min(per_slot, MAX_REQUESTS_PER_SLOT)
+        speed = context.speeds.get(chosen, 1.0)
+        may_wait = limit > chosen.slots
+        return Choice(chosen, limit, wait / chosen.work, speed, may_wait)
 
     def _load(self, companion: CompanionView, now: timedelta) -> float:
         """Return the load, including the cost of a hop to another zone."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
@@ -39,32 +39,41 @@
         if len(context.declined_on_time) < MAX_ON_TIME_DECLINED:
             left = context.target - context.age(now)
             waits = (
-                (self._wait_on_time(each, now), each)
+                (self._wait_on_time(each, context, now), each)
                 for each in companions
                 if each not in context.declined_on_time
             )
             on_time = [(wait, each) for wait, each in waits if wait + each.work <= left]
             if on_time:
-                return self._choose(on_time, timedelta())
+                return self._choose(on_time, context, timedelta())
         max_wait = context.max_wait - context.age(now)
         if context.late_declines >= MAX_LATE_DECLINED or max_wait <= timedelta():
             return None
         waits = [(self._load(each, now) * each.work, each) for each in companions]
-        return self._choose(waits, max_wait)
+        return self._choose(waits, context, max_wait)
 
-    def _wait_on_time(self, companion: CompanionView, now: timedelta) -> timedelta:
+    def _wait_on_time(
+        self, companion: CompanionView, context: PlacementContext, now: timedelta
+    ) -> timedelta:
         """Return the expected wait of an on-time flow, with the cost of the hop.
 
+        A slow server works longer on the flow too, which counts like a wait.
+
         Old reports expect no wait. The random part keeps all balancers of a zone from
         choosing the same companion then.
         """
-        extra = self._zone_load(companion) + self._random.random() * 0.01
+        longer = 1.0 - context.speeds.get(companion, 1.0)
+        extra = self._zone_load(companion) + longer + self._random.random() * 0.01
         return companion.expected_wait(now) + extra * companion.work
 
     @staticmethod
     def _choose(
-        waits: Sequence[tuple[timedelta, CompanionView]], max_wait: timedelta
+        waits: Sequence[tuple[timedelta, CompanionView]],
+        context: PlacementContext,
+        max_wait: timedelta,
     ) -> Choice:
         """Return the companion with the shortest wait."""
         wait, chosen = min(waits, key=lambda pair: pair[0])
-        return Choice(chosen, chosen.slots, wait / chosen.work, max_wait=max_wait)
+        speed = context.speeds.get(chosen, 1.0)
+        load = wait / chosen.work
+        return Choice(chosen, chosen.slots, load, speed, max_wait=max_wait)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -80,7 +80,8 @@
         if outcome is Outcome.ACCEPTED:
             self._accept_opening(offer, packet, balancer, now)
         wait_ms = self._reported_wait_ms(decision, outcome)
-        load = self._send_reply(offer.number, outcome, balancer, wait_ms)
+        flow = packet.caller_flow
+        load = self._send_reply(offer.number, outcome, flow, balancer, wait_ms)
         self._counters.add(f"offers_{outcome.name.lower()}")
         if outcome is Outcome.ACCEPTED and decision is not None:
             kind = "on_time" if decision.is_on_time else "late"
@@ -101,7 +102,8 @@
 
     def handle_ping(self, number: int, balancer: Address) -> None:
         """Reply to a ping."""
-        self._send_message(encode(Pong(number, *self._load_report())), balancer)
+        pong = Pong(number, *self._load(), self._gate.limit or 0)
+        self._send_message(encode(pong), balancer)
 
     def handle_returned_opening(self, packet: Packet, entry: ServerFlow | None) -> None:
         """Decline an accepted offer whose opening packet the server refused."""
@@ -202,7 +204,7 @@
 
     def _correct_offer_reply(self, entry: ServerFlow, outcome: Outcome) -> None:
         """Correct the reply to an accepted offer."""
-        self._send_reply(entry.offer_number, outcome, entry.balancer)
+        self._send_reply(entry.offer_number, outcome, entry.flow, entry.balancer)
         self._log.write(
             _PART,
             outcome.name.lower(),
@@ -214,15 +216,21 @@
         self,
         number: int,
         outcome: Outcome,
+        flow: bytes,
         balancer: Address,
         wait_ms: float | None = None,
     ) -> int:
         """Send a balancer the outcome of its offer; return the reported load."""
-        reply = OfferReply(number, outcome, *self._load_report(), wait_ms=wait_ms)
+        load, flows, work_ms = self._load()
+        concurrency = self._gate.limit or 0
+        route_work_ms = self._gate.route_work_ms(flow, self._clock.monotonic())
+        if route_work_ms is not None:
+            work_ms, concurrency = route_work_ms, 1
+        reply = OfferReply(number, outcome, load, flows, work_ms, concurrency, wait_ms)
         self._send_message(encode(reply), balancer)
         return reply.occupancy
 
-    def _load_report(self) -> tuple[int, int, float]:
+    def _load(self) -> tuple[int, int, float]:
         """Return load, number of flows and work time, as replies contain them."""
         load = self._flows.load(self._clock.monotonic())
         return load, len(self._flows), self._gate.work_ms
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
@@ -5,14 +5,18 @@
 from pomelotrail_companion.opening_wait import Backlog, OnTimeShare, QueuedWork
 from pomelotrail_companion.request_queue import (
     EarliestDeadlineFirst,
+    LearntConcurrency,
     OnTimeFirst,
     RequestQueue,
+    RouteWork,
     WaitingRequest,
     WorkEstimate,
 )
 from pomelotrail_companion.request_queue.const import ROUND_TRIP_TIME
+from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES
 from pomelotrail_core.flows import Packet
 
+from .const import MILLISECOND
 from .server_flows import ServerFlow, ServerFlows
 
 
@@ -24,13 +28,24 @@
     forwarded at once.
     """
 
-    def __init__(self, flows: ServerFlows, estimate: WorkEstimate) -> None:
-        """Limit the requests of the server whose flows are tracked."""
+    def __init__(
+        self,
+        flows: ServerFlows,
+        estimate: WorkEstimate,
+        learnt: LearntConcurrency | None,
+    ) -> None:
+        """Limit the requests of the server whose flows are tracked.
+
+        Without ``learnt``, all slots are used.
+        """
         self._flows = flows
         self._estimate = estimate
         self._queue = RequestQueue(OnTimeFirst(), self._estimate)
         self._on_time_share = OnTimeShare()
         self._is_by_deadline = False
+        self._route_work = RouteWork()
+        self._learnt = learnt
+        self._limit: int | None = None
         self._slots: int | None = None
 
     def __len__(self) -> int:
@@ -42,6 +57,22 @@
         """Return the observed processing time of a request; 0 if none was observed."""
         return self._estimate.observed_ms
 
+    @property
+    def limit(self) -> int | None:
+        """Return the learnt number of concurrent requests; None if there is none."""
+        return self._limit
+
+    def route_work_ms(self, flow: bytes, now: timedelta) -> float | None:
+        """Return the recent processing time on a flow's route, or None if unknown.
+
+        With several slots, the number of requests in progress shows how fast a server
+        is, and its processing times depend on that number.
+        """
+        if self._slots != 1:
+            return None
+        average = self._route_work.average(flow[PACKED_ENDPOINT_BYTES:], now)
+        return average / MILLISECOND if average is not None else None
+
     def backlog(self, priority: int, now: timedelta) -> Backlog:
         """Return all work at the backend server, for a flow of a priority.
 
@@ -79,6 +110,13 @@
         """Set the number of slots from the backend server's directory entry."""
         self._slots = max(1, slots)
 
+    def learn_concurrency(self, now: timedelta) -> list[str] | None:
+        """Update the limit; return the reasons if it has changed."""
+        if self._learnt is None or self._slots is None or self._slots == 1:
+            return None
+        previous, self._limit = self._limit, self._learnt.limit(self._slots, now)
+        return self._learnt.describe() if self._limit != previous else None
+
     def admit(self, entry: ServerFlow, packet: Packet, now: timedelta) -> bool:
         """Return whether to forward a packet now; queue it otherwise."""
         waiting = self._queue.get(entry.flow)
@@ -107,9 +145,15 @@
 
     def record_response(self, entry: ServerFlow, now: timedelta) -> timedelta | None:
         """Record the start of a response and return the processing time."""
+        # The number of other requests changes while a request runs.
+        running = (entry.concurrency + self._flows.running + 1) // 2
         duration = self._flows.record_response(entry, now)
         if duration is not None:
             self._estimate.record(duration)
+            route = entry.flow[PACKED_ENDPOINT_BYTES:]
+            self._route_work.record(route, duration, now)
+            if self._learnt is not None and self._slots is not None:
+                self._learnt.record(running, self._slots, duration, now)
         return duration
 
     def remove(self, flow: bytes) -> WaitingRequest | None:
@@ -131,4 +175,7 @@
 
     def _has_free_slot(self) -> bool:
         """Return whether the backend server can start a request at once."""
-        return self._slots is None or self._flows.running < self._slots
+        if self._slots is None:
+            return True
+        limit = min(self._limit or self._slots, self._slots)
+        return self._flows.running < limit
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -33,9 +33,10 @@
     accepted the flow. ``next_sequence`` is close to the next byte that the caller
     expects. ``idle_before`` is the time between the last two packets of the caller or
     the server. ``requested`` is set while a request is expected or in progress, and
-    ``started`` once it was forwarded to the backend server. ``age`` is how long the
-    caller had waited when the flow was offered, if the offer told it; the first
-    response removes it, since later requests haven't waited.
+    ``started`` once it was forwarded to the backend server; ``concurrency`` is the
+    number of requests that it then ran. ``age`` is how long the caller had waited when
+    the flow was offered, if the offer told it; the first response removes it, since
+    later requests haven't waited.
     """
 
     flow: bytes
@@ -46,6 +47,7 @@
     offer_number: int = 0
     age: timedelta | None = None
     started: timedelta | None = None
+    concurrency: int = 0
     initial_sequence: int | None = None
     caller_end: int | None = None
     acknowledged: int | None = None
@@ -252,6 +254,7 @@
         """Record that the request of a flow goes to the backend server."""
         entry.started = now
         self._running[entry.flow] = entry
+        entry.concurrency = len(self._running)
 
     def record_response(self, entry: ServerFlow, now: timedelta) -> timedelta | None:
         """Record data of the backend server and return its processing time."""
