Configuration: numbers too long to write are refused, errors have field and remedy

Cause: a document with a hexadecimal integer of more than 4,300 digits raised ValueError while the error message was written, and a share above 1e308 raised OverflowError, so that a published document ended its reader with a traceback instead of being refused.

Change: short_repr and the validator of shares handle both; ConfigurationError and SettingsError have problem and remedy as fields of their own, which the check of a configuration prints. Texts stay but for the place of an unlisted zone and of a document that is too large.

Result: test_numbers_too_long_to_write raises ValueError on the code before and passes now; the tests of configuration, settings and operators pass.

--- a/packages/pomelotrail-core/pomelotrail_core/configuration/errors.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/errors.py
@@ -5,13 +5,22 @@
 
 @attrs.frozen
 class ConfigurationError:
-    """A document was refused as a whole."""
+    """A document was refused as a whole, for the value of one field.
 
+    The field is empty for a problem of the whole document, and the remedy where the
+    problem already states what is expected.
+    """
+
+    source: str
+    field: str
     problem: str
+    remedy: str = ""
 
     def __str__(self) -> str:
-        """Return a message with the problem and the remedy."""
-        return f"configuration refused: {self.problem}"
+        """Return a message with the place, the problem and the remedy."""
+        place = f"{self.source}, key {self.field!r}" if self.field else self.source
+        remedy = f"; {self.remedy}" if self.remedy else ""
+        return f"configuration refused: {place}: {self.problem}{remedy}"
 
 
 @attrs.frozen
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/parser.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/parser.py
@@ -29,7 +29,7 @@
 
 from pomelotrail_core.settings import SettingsError
 from pomelotrail_core.settings.loader import parse_document
-from pomelotrail_core.settings.validators import duration, endpoint
+from pomelotrail_core.settings.validators import duration, endpoint, number
 
 from .const import (
     DEFAULT_BODY_LIMIT_BYTES,
@@ -64,9 +64,7 @@
 }
 _TARGET: Final = {
     vol.Required("within"): duration,
-    vol.Required("share"): vol.All(
-        vol.Coerce(float), vol.Range(min=0, max=1, min_included=False)
-    ),
+    vol.Required("share"): vol.All(number, vol.Range(min=0, max=1, min_included=False)),
 }
 _CLASS: Final = {
     vol.Required("name"): _NAME,
@@ -149,18 +147,18 @@
     ) -> Result[Configuration, ConfigurationError]:
         """Parse a document; one invalid value rejects the whole document."""
         documents = split_stream(text)
-        if problem := _describe_excess_size(documents, source):
-            return Err(ConfigurationError(problem))
+        if error := _excess_size(documents, source):
+            return Err(error)
         fragments: dict[str, _Fragment] = {}
         for index, document in enumerate(documents):
             match self._parse_fragment(document, index, len(documents), source):
                 case Err(error):
-                    return Err(ConfigurationError(str(error)))
+                    return Err(_to_configuration_error(error))
                 case Ok(fragment):
                     fragments[document] = fragment
         root = fragments[documents[0]]
-        if problem := _describe_part_mismatch(root, documents[1:], source):
-            return Err(ConfigurationError(problem))
+        if error := _part_mismatch(root, documents[1:], source):
+            return Err(error)
         self._cached_fragments = fragments
         return _check(_join([fragments[each] for each in documents]), source)
 
@@ -189,27 +187,35 @@
     return ConfigurationParser().parse(text, source)
 
 
-def _describe_excess_size(documents: list[str], source: str) -> str:
-    """Return the problem of a document that exceeds a size limit, or empty."""
+def _to_configuration_error(error: SettingsError) -> ConfigurationError:
+    """Return the error of a document that doesn't match its schema."""
+    return ConfigurationError(error.source, error.key, error.problem, error.remedy)
+
+
+def _excess_size(documents: list[str], source: str) -> ConfigurationError | None:
+    """Return the error of a document that exceeds a size limit, or None."""
     sizes = [len(document.encode()) for document in documents]
     if max(sizes) > MAX_DOCUMENT_BYTES:
-        return (
-            f"{source} is larger than {MAX_DOCUMENT_BYTES} bytes; "
-            "move services into parts"
-        )
+        problem = f"is larger than {MAX_DOCUMENT_BYTES} bytes"
+        return ConfigurationError(source, "", problem, "move services into parts")
     if sum(sizes) > MAX_STREAM_BYTES:
-        return f"{source} with its parts is larger than {MAX_STREAM_BYTES} bytes"
-    return ""
+        problem = f"is larger than {MAX_STREAM_BYTES} bytes with its parts"
+        return ConfigurationError(source, "", problem, "remove entries")
+    return None
 
 
-def _describe_part_mismatch(root: _Fragment, parts: list[str], source: str) -> str:
-    """Return the problem of parts that the root does not list, or empty."""
+def _part_mismatch(
+    root: _Fragment, parts: list[str], source: str
+) -> ConfigurationError | None:
+    """Return the error of parts that the root does not list, or None."""
     found = tuple(part_digest(part).hex() for part in parts)
     if found == root.parts:
-        return ""
-    return (
-        f"{source}, key 'parts': lists other parts than those that follow; "
-        "publish every part before the root that lists it"
+        return None
+    return ConfigurationError(
+        source,
+        "parts",
+        "lists other parts than those that follow",
+        "publish every part before the root that lists it",
     )
 
 
@@ -283,25 +289,19 @@
 ) -> Result[Configuration, ConfigurationError]:
     """Check what the schema can't: unique names and numbers, known zones."""
     nodes = _all_processes(configuration)
-    problems = [
-        *_describe_duplicates(
-            "zones", "name", [zone.name for zone in configuration.zones]
-        ),
-        *_describe_duplicates(
-            "zones", "number", [zone.number for zone in configuration.zones]
-        ),
-        *_describe_duplicates(
-            "services", "name", [each.name for each in configuration.services]
-        ),
-        *_describe_duplicates(
-            "services", "number", [each.number for each in configuration.services]
-        ),
-        *_describe_duplicates("processes", "name", [each.name for each in nodes]),
-        *_describe_duplicates("processes", "packets", [each.packets for each in nodes]),
-        *_describe_unknown_zones(configuration, nodes),
+    uniques: list[tuple[str, str, list[Any]]] = [
+        ("zones", "name", [zone.name for zone in configuration.zones]),
+        ("zones", "number", [zone.number for zone in configuration.zones]),
+        ("services", "name", [each.name for each in configuration.services]),
+        ("services", "number", [each.number for each in configuration.services]),
+        ("processes", "name", [each.name for each in nodes]),
+        ("processes", "packets", [each.packets for each in nodes]),
     ]
-    if problems:
-        return Err(ConfigurationError(f"{source}, {problems[0]}"))
+    for place, key, values in uniques:
+        if problem := _describe_duplicate(key, values):
+            return Err(ConfigurationError(source, place, problem, "make each unique"))
+    if error := _unknown_zone(configuration, nodes, source):
+        return Err(error)
     return Ok(configuration)
 
 
@@ -313,25 +313,22 @@
     return nodes
 
 
-def _describe_duplicates(place: str, key: str, values: list[Any]) -> list[str]:
-    """Return a problem for each value that occurs more than once."""
+def _describe_duplicate(key: str, values: list[Any]) -> str:
+    """Return the problem of the value that occurs most often, or empty if all differ."""
     if len(set(values)) == len(values):
-        return []
-    return [
-        f"key {place!r}: {key} {value} occurs {count} times; make each unique"
-        for value, count in Counter(values).items()
-        if count > 1
-    ]
+        return ""
+    value, count = Counter(values).most_common(1)[0]
+    return f"{key} {value} occurs {count} times"
 
 
-def _describe_unknown_zones(
-    configuration: Configuration, nodes: list[Balancer | BackendServer]
-) -> list[str]:
-    """Return a problem for each process in an unlisted availability zone."""
+def _unknown_zone(
+    configuration: Configuration, nodes: list[Balancer | BackendServer], source: str
+) -> ConfigurationError | None:
+    """Return the error of a process in an unlisted availability zone, or None."""
     known = {zone.name for zone in configuration.zones}
-    return [
-        f"{node.name!r}: zone {node.zone!r} is not listed under zones; "
-        f"use one of {', '.join(sorted(known))}"
-        for node in nodes
-        if node.zone not in known
-    ]
+    for node in nodes:
+        if node.zone not in known:
+            problem = f"{node.zone!r} is not listed under zones"
+            remedy = f"use one of {', '.join(sorted(known))}"
+            return ConfigurationError(source, f"{node.name}.zone", problem, remedy)
+    return None
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/tests/test_parser.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/tests/test_parser.py
@@ -51,6 +51,38 @@
             self.assertIn(key, str(error))
             self.assertIn("at most", str(error))
 
+    def test_numbers_too_long_to_write(self) -> None:
+        """Guards against a published document that ends the reader of the document.
+
+        Python neither writes integers of more than 4,300 digits nor converts those
+        above 1e308 to floating point.
+        """
+        too_long = f"0x{'f' * 5000}"
+        for value, field in (
+            ("version: 1", "version"),
+            ("192.0.2.9:7000", "services.0.backend_servers.0.packets"),
+            ("300 ms", "services.0.classes.0.target.within"),
+            ("0.99", "services.0.classes.0.target.share"),
+        ):
+            key, _, _ = value.rpartition(" ") if ": " in value else ("", "", "")
+            text = document().replace(value, f"{key} {too_long}".strip())
+            error = parse_configuration(text).unwrap_err()
+            self.assertEqual(error.field, field)
+        error = parse_configuration(f"? {too_long}\n: 1\n").unwrap_err()
+        self.assertEqual(error.problem, "is not known")
+
+    def test_error_names_field_problem_and_remedy(self) -> None:
+        """An error has the field at fault, what is wrong and what to do."""
+        text = document().replace("slots: 5", "slot: 5")
+        error = parse_configuration(text, "new.yaml").unwrap_err()
+        self.assertEqual(error.field, "services.0.backend_servers.0.slot")
+        self.assertEqual(error.problem, "is not known")
+        self.assertIn("did you mean 'slots'", error.remedy)
+        text = document().replace("300 ms", "soon")
+        error = parse_configuration(text).unwrap_err()
+        self.assertEqual(error.problem, "'soon' is not a duration")
+        self.assertEqual(error.remedy, "write a number and ms, s, min or h, as 3 s")
+
     def test_too_large(self) -> None:
         """A document above the size limit of the service is refused."""
         error = parse_configuration("#" * 1_000_001).unwrap_err()
--- a/packages/pomelotrail-core/pomelotrail_core/settings/loader.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/loader.py
@@ -27,8 +27,8 @@
     try:
         text = path.read_text()
     except (OSError, UnicodeDecodeError) as error:
-        remedy = f"can't be read ({error}); give the path of a YAML file"
-        return Err(SettingsError(str(path), "", remedy))
+        problem, remedy = f"can't be read ({error})", "give the path of a YAML file"
+        return Err(SettingsError(str(path), "", problem, remedy))
     return parse_document(text, schema, str(path))
 
 
@@ -39,7 +39,8 @@
     try:
         document = yaml.load(text, Loader=yaml.CSafeLoader)
     except (yaml.YAMLError, *_CONSTRUCTOR_ERRORS) as error:
-        return Err(SettingsError(source, "", f"is not YAML: {error}"))
+        problem, remedy = f"is not YAML: {error}", "correct the syntax"
+        return Err(SettingsError(source, "", problem, remedy))
     try:
         return Ok(schema(document))
     except vol.MultipleInvalid as error:
@@ -50,18 +51,28 @@
     error: vol.Invalid, document: Any, schema: vol.Schema, source: str
 ) -> SettingsError:
     """Convert a schema error to a settings error with the remedy."""
-    key = ".".join(str(part) for part in error.path)
+    key = ".".join(_key_text(part) for part in error.path)
     value = _value_at(document, error.path)
     if error.error_message == "extra keys not allowed":
-        return SettingsError(source, key, _unknown_key(error, schema))
+        remedy = _unknown_key_remedy(error, schema)
+        return SettingsError(source, key, "is not known", remedy)
     if error.error_message == "required key not provided":
-        return SettingsError(source, key, "is missing; add it")
-    problem = error.error_message
+        return SettingsError(source, key, "is missing", "add it")
+    # Messages of the project's own validators end with the remedy.
+    message = error.error_message
+    problem, separator, remedy = message.rpartition("; ")
+    if not separator:
+        problem, remedy = message, ""
     is_secret = isinstance(error, SecretInvalid)
     text = short_repr(value)
-    if value is not None and text not in problem and not is_secret:
+    if value is not None and text not in message and not is_secret:
         problem = f"{problem}, not {text}"
-    return SettingsError(source, key, problem)
+    return SettingsError(source, key, problem, remedy)
+
+
+def _key_text(key: Any) -> str:
+    """Return a key for an error message; a number may be too long to be written."""
+    return short_repr(key) if isinstance(key, int) else str(key)
 
 
 def _value_at(document: Any, path: list[Any]) -> Any:
@@ -74,14 +85,14 @@
     return document
 
 
-def _unknown_key(error: vol.Invalid, schema: vol.Schema) -> str:
-    """Return the problem text for an unknown key, with the allowed keys."""
+def _unknown_key_remedy(error: vol.Invalid, schema: vol.Schema) -> str:
+    """Return the remedy for an unknown key, with the allowed keys."""
     allowed = _allowed_keys(schema.schema, error.path[:-1])
     if not allowed:
-        return "is not known; remove it"
-    close = difflib.get_close_matches(str(error.path[-1]), allowed, n=1)
+        return "remove it"
+    close = difflib.get_close_matches(_key_text(error.path[-1]), allowed, n=1)
     hint = f"did you mean {close[0]!r}? " if close else ""
-    return f"is not known; {hint}Allowed here: {', '.join(allowed)}"
+    return f"{hint}Allowed here: {', '.join(allowed)}"
 
 
 def _allowed_keys(schema: Any, path: list[Any]) -> list[str]:
--- a/packages/pomelotrail-core/pomelotrail_core/settings/validators.py
+++ b/packages/pomelotrail-core/pomelotrail_core/settings/validators.py
@@ -32,7 +32,12 @@
     With aliases, a small document can hold a value whose whole text doesn't fit into
     memory.
     """
-    return _SHORT.repr(value)
+    try:
+        return _SHORT.repr(value)
+    except ValueError:
+        # Python doesn't write integers of more than 4,300 digits, which YAML can hold
+        # in hexadecimal.
+        return f"a value of type {type(value).__name__} that is too long"
 
 
 class SecretInvalid(vol.Invalid):
@@ -55,6 +60,14 @@
         ) from error
 
 
+def number(value: Any) -> float:
+    """Parse a number; an integer may be too large for one."""
+    try:
+        return float(value)
+    except (TypeError, ValueError, OverflowError) as error:
+        raise vol.Invalid("expected float") from error
+
+
 def endpoint(value: Any) -> Endpoint:
     """Parse an endpoint such as ``192.0.2.7:4433``."""
     match Endpoint.parse(value if isinstance(value, str) else short_repr(value)):
