Check of a configuration: never-matching entries, contradictions, differences

Cause: `pomelotrail check` told only whether processes would refuse a document. A class that gets no request, a service that no zone serves or a target over its deadline was applied and noticed by callers, and nothing showed what a publication changes.

Change: a slice configuration_check without input and output: the parser that processes apply, then one class for each kind of finding, and differences by entry and field. It reads files as bytes, as they are published, so that line ends and invalid UTF-8 are treated as at apply; standard input with surrogates raised UnicodeEncodeError before.

Output changes: an error is shown as `error: FIELD: PROBLEM; REMEDY` on standard error, with `FILE: would not be applied` on standard output. Exit codes stay.

Left: only the first error of a refused document is shown; order of entries and repeated YAML keys aren't reported.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/document_file.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/document_file.py
@@ -1,5 +1,6 @@
 """Reads the operators' document from a file or standard input."""
 
+import os
 import sys
 from pathlib import Path
 
@@ -22,13 +23,31 @@
     configuration: Configuration
 
 
+def source_name(path: Path) -> str:
+    """Return the name of a document in messages."""
+    if path == STANDARD_INPUT:
+        return "standard input"
+    return os.fsencode(path).decode(errors="backslashreplace")
+
+
+def read_text(path: Path) -> Result[str, CommandError]:
+    """Read a text as it is published, with the line ends that it has."""
+    try:
+        data = sys.stdin.buffer.read() if path == STANDARD_INPUT else path.read_bytes()
+        return Ok(data.decode())
+    except (OSError, ValueError) as error:
+        problem = f"{source_name(path)} can't be read ({error})"
+        return Err(CommandError(problem, "give a YAML file"))
+
+
 def read_document(path: Path) -> Result[DocumentFile, CommandError]:
     """Read a document and check it by the rules that every process applies."""
-    source = "standard input" if path == STANDARD_INPUT else str(path)
-    try:
-        text = sys.stdin.read() if path == STANDARD_INPUT else path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        return Err(CommandError(f"{source}: can't be read ({error}); give a YAML file"))
+    source = source_name(path)
+    match read_text(path):
+        case Err(error):
+            return Err(error)
+        case Ok(text):
+            pass
     match parse_configuration(text, source):
         case Err(error):
             return Err(CommandError(str(error)))
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/errors.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/errors.py
@@ -8,7 +8,8 @@
     """Error of a command, with a remedy for the operator."""
 
     problem: str
+    remedy: str = ""
 
     def __str__(self) -> str:
         """Return the problem and the remedy."""
-        return self.problem
+        return f"{self.problem}; {self.remedy}" if self.remedy else self.problem
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/builders.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/tests/builders.py
@@ -57,13 +57,15 @@
     errors: str
 
 
-def run_command(*arguments: str, standard_input: str = "") -> CommandOutcome:
+def run_command(*arguments: str, standard_input: str | bytes = "") -> CommandOutcome:
     """Run ``pomelotrail`` with these arguments in this process."""
     output, errors = io.StringIO(), io.StringIO()
+    if isinstance(standard_input, str):
+        standard_input = standard_input.encode()
     with (
         contextlib.redirect_stdout(output),
         contextlib.redirect_stderr(errors),
-        mock.patch("sys.stdin", io.StringIO(standard_input)),
+        mock.patch("sys.stdin", io.TextIOWrapper(io.BytesIO(standard_input))),
         mock.patch.dict(os.environ),
     ):
         os.environ.pop(TLS_DIRECTORY_VARIABLE, None)
--- a/packages/pomelotrail-core/pomelotrail_core/configuration/parser.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration/parser.py
@@ -314,7 +314,7 @@
 
 
 def _describe_duplicate(key: str, values: list[Any]) -> str:
-    """Return the problem of the value that occurs most often, or empty if all differ."""
+    """Return the problem of a value that occurs more than once, or empty."""
     if len(set(values)) == len(values):
         return ""
     value, count = Counter(values).most_common(1)[0]
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/places.py
@@ -0,0 +1,34 @@
+"""Names of entries in findings and differences, such as ``services[ledger]``."""
+
+from pomelotrail_core.configuration import (
+    AvailabilityZone,
+    BackendServer,
+    Balancer,
+    RequestClass,
+    Service,
+)
+
+
+def zone_place(zone: AvailabilityZone) -> str:
+    """Return the place of an availability zone."""
+    return f"zones[{zone.name}]"
+
+
+def balancer_place(balancer: Balancer) -> str:
+    """Return the place of a balancer."""
+    return f"balancers[{balancer.name}]"
+
+
+def service_place(service: Service) -> str:
+    """Return the place of a service."""
+    return f"services[{service.name}]"
+
+
+def class_place(service: Service, request_class: RequestClass) -> str:
+    """Return the place of a class of requests."""
+    return f"{service_place(service)}.classes[{request_class.name}]"
+
+
+def server_place(service: Service, server: BackendServer) -> str:
+    """Return the place of a backend server."""
+    return f"{service_place(service)}.backend_servers[{server.name}]"
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration check."""
--- /dev/null
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/version.py
@@ -0,0 +1,33 @@
+"""Check of a version against the one in force."""
+
+from collections.abc import Iterator
+
+from pomelotrail_core.configuration import Configuration
+
+from .check import ConfigurationCheck
+from .messages import Finding, Level
+
+
+class VersionCheck(ConfigurationCheck):
+    """Finds a version that processes don't adopt, since it isn't above theirs."""
+
+    def __init__(self, in_force: Configuration) -> None:
+        """Compare with the configuration in force."""
+        self._in_force = in_force
+
+    def find(self, configuration: Configuration) -> Iterator[Finding]:
+        """Yield a finding if the version isn't newer.
+
+        For the configuration in force itself it is a warning: nothing would be lost.
+        """
+        version, version_in_force = configuration.version, self._in_force.version
+        if version > version_in_force:
+            return
+        is_same = configuration == self._in_force
+        yield Finding(
+            Level.WARNING if is_same else Level.ERROR,
+            "version",
+            f"{version} is not above {version_in_force}, the version in force, so "
+            "processes don't adopt the document",
+            f"write a version from {version_in_force + 1}",
+        )
