--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/check.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/check.py
@@ -1,9 +1,10 @@
 """``pomelotrail check``: checks a document or a settings file."""
 
+import abc
 import argparse
 import sys
-from datetime import timedelta
 from pathlib import Path
+from typing import Any
 
 from result import Err, Ok
 
@@ -17,6 +18,7 @@
 )
 from pomelotrail_core.configuration_check import (
     ConfigurationChecker,
+    DocumentChecker,
     Finding,
     Level,
     Verdict,
@@ -26,46 +28,29 @@
 from .document_file import STANDARD_INPUT, read_text, source_name
 
 
-class CheckCommand(Command):
-    """Checks a configuration document, or the settings of a balancer."""
+class DocumentCheckCommand(Command):
+    """Checks a document of one form, and compares it with the one in force."""
 
     name = "check"
-    summary = "check a configuration document or a balancer's settings"
-    examples = (
-        "pomelotrail check document.yaml\n"
-        "pomelotrail check - < document.yaml\n"
-        "pomelotrail check document.yaml --against in-force.yaml\n"
-        "pomelotrail check document.yaml --grace 30s --strict --json\n"
-        "pomelotrail check --settings balancer-1.yaml"
-    )
 
     @property
     def uses_operator_security(self) -> bool:
         """Return False: nothing is queried."""
         return False
 
+    @abc.abstractmethod
+    def make_checker(self, arguments: argparse.Namespace) -> DocumentChecker:
+        """Return the checker for the form of document."""
+
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the arguments."""
-        parser.add_argument(
-            "file", type=Path, help="document (YAML), or - for standard input"
-        )
-        parser.add_argument(
-            "--settings",
-            action="store_true",
-            help="the file holds the settings of a balancer",
-        )
+        parser.add_argument("file", type=Path, help="document, or - for standard input")
         parser.add_argument(
             "--against",
             type=Path,
             metavar="FILE",
             help="show what differs from this document, the version in force",
         )
-        parser.add_argument(
-            "--grace",
-            type=argument_duration,
-            metavar="DURATION",
-            help="time that a process gets to shut down; shows what drains longer",
-        )
         parser.add_argument(
             "--strict", action="store_true", help="fail for warnings too"
         )
@@ -74,79 +59,84 @@
         )
 
     def run(self, arguments: argparse.Namespace) -> int:
-        """Check one file."""
-        if problem := _describe_wrong_use(arguments):
+        """Check a document, print the verdict and return the exit code."""
+        if arguments.file == arguments.against == STANDARD_INPUT:
+            problem = "both documents are -; give the path of a file for one of them"
             print(problem, file=sys.stderr)
             return EXIT_USAGE
-        if arguments.settings:
-            return _check_settings(arguments.file)
-        return _DocumentCheck(
-            arguments.against, arguments.grace, arguments.strict, arguments.json
-        ).run(arguments.file)
-
-
-class _DocumentCheck:
-    """Checks a document by the rules that every process applies, and for mistakes."""
-
-    def __init__(
-        self,
-        against: Path | None,
-        grace: timedelta | None,
-        is_strict: bool,
-        is_json: bool,
-    ) -> None:
-        """Initialize with the options of the command."""
-        self._against = against
-        self._grace = grace
-        self._is_strict = is_strict
-        self._is_json = is_json
-
-    def run(self, path: Path) -> int:
-        """Check a document, print the verdict and return the exit code."""
-        in_force, in_force_name = None, ""
-        if self._against is not None:
-            against = _check_document(self._against, ConfigurationChecker())
-            in_force = against.configuration
-            if in_force is None:
-                return self._report(against)
-            in_force_name = f"{against.source}, version {in_force.version}"
-        checker = ConfigurationChecker(in_force, self._grace)
-        return self._report(_check_document(path, checker), in_force_name)
-
-    def _report(self, verdict: Verdict, in_force_name: str = "") -> int:
-        """Print a verdict and return the exit code."""
-        report = CheckReport(verdict, in_force_name)
-        if self._is_json:
+        report = self._check(arguments)
+        if arguments.json:
             report.print_json()
         else:
             report.print_text()
-        has_failed = verdict.findings if self._is_strict else verdict.errors
+        verdict = report.verdict
+        has_failed = verdict.findings if arguments.strict else verdict.errors
         return EXIT_FAILED if has_failed else EXIT_OK
 
+    def _check(self, arguments: argparse.Namespace) -> CheckReport:
+        """Return the report on a document, or on the one in force if that is wrong."""
+        checker = self.make_checker(arguments)
+        if arguments.against is None:
+            return CheckReport(_check_file(arguments.file, checker))
+        against = _check_file(arguments.against, checker)
+        if against.content is None:
+            return CheckReport(against)
+        verdict = _check_file(arguments.file, checker, against.content)
+        return CheckReport(
+            verdict, f"{against.source}, version {against.content.version}"
+        )
+
 
-def _check_document(path: Path, checker: ConfigurationChecker) -> Verdict:
+class CheckCommand(DocumentCheckCommand):
+    """Checks a configuration document, or the settings of a balancer."""
+
+    summary = "check a configuration document or a balancer's settings"
+    examples = (
+        "pomelotrail check document.yaml\n"
+        "pomelotrail check - < document.yaml\n"
+        "pomelotrail check document.yaml --against in-force.yaml\n"
+        "pomelotrail check document.yaml --grace 30s --strict --json\n"
+        "pomelotrail check --settings balancer-1.yaml"
+    )
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the arguments."""
+        super().add_arguments(parser)
+        parser.add_argument(
+            "--grace",
+            type=argument_duration,
+            metavar="DURATION",
+            help="time that a process gets to shut down; shows what drains longer",
+        )
+        parser.add_argument(
+            "--settings",
+            action="store_true",
+            help="the file holds the settings of a balancer",
+        )
+
+    def make_checker(self, arguments: argparse.Namespace) -> DocumentChecker:
+        """Return the checker for the product's document."""
+        return ConfigurationChecker(arguments.grace)
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Check one file."""
+        if not arguments.settings:
+            return super().run(arguments)
+        if any((arguments.against, arguments.grace, arguments.strict, arguments.json)):
+            problem = "--settings can't be used with options for documents; omit them"
+            print(problem, file=sys.stderr)
+            return EXIT_USAGE
+        return _check_settings(arguments.file)
+
+
+def _check_file(path: Path, checker: DocumentChecker, in_force: Any = None) -> Verdict:
     """Return the verdict on a file, which is an error if it can't be read."""
     match read_text(path):
         case Err(error):
             finding = Finding(Level.ERROR, "", error.problem, error.remedy)
             return Verdict(source_name(path), None, (finding,))
         case Ok(text):
-            return checker.check(text, source_name(path))
-
-
-def _describe_wrong_use(arguments: argparse.Namespace) -> str:
-    """Return the problem of options that exclude each other, or empty."""
-    document_options = (
-        arguments.against,
-        arguments.grace,
-        arguments.strict,
-        arguments.json,
-    )
-    if arguments.settings and any(document_options):
-        return "--settings can't be used with options for documents; leave them out"
-    if arguments.file == arguments.against == STANDARD_INPUT:
-        return "both documents are -; give the path of a file for one of them"
-    return ""
+            return checker.check(text, source_name(path), in_force)
 
 
 def _check_settings(path: Path) -> int:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/check_report.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/check_report.py
@@ -17,11 +17,16 @@
         self._verdict = verdict
         self._in_force = in_force
 
+    @property
+    def verdict(self) -> Verdict:
+        """Return the verdict."""
+        return self._verdict
+
     @property
     def _version(self) -> int | None:
         """Return the version of the document, or None if it can't be parsed."""
-        configuration = self._verdict.configuration
-        return configuration.version if configuration is not None else None
+        content = self._verdict.content
+        return content.version if content is not None else None
 
     def print_text(self) -> None:
         """Print the verdict, the findings and the differences."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/operators/document_file.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/operators/document_file.py
@@ -1,6 +1,5 @@
 """Reads the operators' document from a file or standard input."""
 
-import os
 import sys
 from pathlib import Path
 
@@ -25,9 +24,7 @@
 
 def source_name(path: Path) -> str:
     """Return the name of a document in messages."""
-    if path == STANDARD_INPUT:
-        return "standard input"
-    return os.fsencode(path).decode(errors="backslashreplace")
+    return "standard input" if path == STANDARD_INPUT else str(path)
 
 
 def read_text(path: Path) -> Result[str, CommandError]:
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/__init__.py
@@ -1,7 +1,8 @@
 """Check of a configuration before it is published, without input and output."""
 
 from .check import ConfigurationCheck
-from .checker import ConfigurationChecker
+from .checker import DocumentChecker
+from .configuration_checker import ConfigurationChecker
 from .differences import find_differences
 from .messages import Change, Difference, Finding, Level, Verdict
 
@@ -10,6 +11,7 @@
     "ConfigurationCheck",
     "ConfigurationChecker",
     "Difference",
+    "DocumentChecker",
     "Finding",
     "Level",
     "Verdict",
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/check.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/check.py
@@ -2,18 +2,19 @@
 
 import abc
 from collections.abc import Iterator
+from typing import Generic, TypeVar
 
-from pomelotrail_core.configuration import Configuration
+from .messages import Finding, Level, Versioned
 
-from .messages import Finding, Level
+ContentT = TypeVar("ContentT", bound=Versioned, contravariant=True)
 
 
-class ConfigurationCheck(abc.ABC):
-    """Looks for one kind of problem in a valid configuration."""
+class ConfigurationCheck(abc.ABC, Generic[ContentT]):
+    """Looks for one kind of problem in the content of a valid document."""
 
     @abc.abstractmethod
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
-        """Yield the problems of a configuration."""
+    def find(self, content: ContentT) -> Iterator[Finding]:
+        """Yield the problems."""
 
 
 def warn(field: str, problem: str, remedy: str) -> Finding:
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/checker.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/checker.py
@@ -1,84 +1,61 @@
-"""The check of a document as a whole."""
+"""Base class of the checks of a whole document."""
 
-from datetime import timedelta
+import abc
+from typing import Generic, TypeVar
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
-from pomelotrail_core.configuration import (
-    Configuration,
-    ConfigurationError,
-    parse_configuration,
-)
+from pomelotrail_core.configuration import ConfigurationError
 
 from .check import ConfigurationCheck
 from .const import DEFAULT_REMEDY
 from .differences import find_differences
-from .limits import (
-    ConnectionsCheck,
-    ControlAddressCheck,
-    DrainCheck,
-    TargetCheck,
-    TargetConflictCheck,
-)
-from .messages import Finding, Level, Verdict
-from .unmatched import (
-    BalancersOutCheck,
-    QueryInPathCheck,
-    ShadowedClassCheck,
-    UnservedServiceCheck,
-    UnusedZoneCheck,
-)
+from .messages import Entries, Finding, Level, Verdict, Versioned
 from .version import VersionCheck
 
+ContentT = TypeVar("ContentT", bound=Versioned)
 
-class ConfigurationChecker:
-    """Checks documents by the rules that processes apply, and for likely mistakes::
 
-        checker = ConfigurationChecker(in_force=configuration)
-        verdict = checker.check(text, "document.yaml")
+class DocumentChecker(abc.ABC, Generic[ContentT]):
+    """Checks documents of one form by the rules that processes apply, and more::
 
-    ``in_force`` is the configuration to compare with, and ``grace`` the time that a
-    process gets to shut down; checks that need one are left out without it.
+    verdict = ConfigurationChecker().check(text, "document.yaml", in_force)
     """
 
-    def __init__(
-        self, in_force: Configuration | None = None, grace: timedelta | None = None
-    ) -> None:
-        """Initialize with what documents are compared with."""
-        self._in_force = in_force
-        self._checks: list[ConfigurationCheck] = [
-            ShadowedClassCheck(),
-            QueryInPathCheck(),
-            UnservedServiceCheck(),
-            UnusedZoneCheck(),
-            BalancersOutCheck(),
-            TargetCheck(),
-            TargetConflictCheck(),
-            ConnectionsCheck(),
-            ControlAddressCheck(),
-        ]
-        if grace is not None:
-            self._checks.append(DrainCheck(grace))
-        if in_force is not None:
-            self._checks.insert(0, VersionCheck(in_force))
+    @property
+    @abc.abstractmethod
+    def checks(self) -> list[ConfigurationCheck[ContentT]]:
+        """Return the checks for a valid document."""
+
+    @abc.abstractmethod
+    def parse(self, text: str, source: str) -> Result[ContentT, ConfigurationError]:
+        """Parse a document by the code that processes use."""
 
-    def check(self, text: str, source: str) -> Verdict:
-        """Return the verdict on the text of a document."""
-        match parse_configuration(text, source):
+    @abc.abstractmethod
+    def entries(self, content: ContentT) -> Entries:
+        """Return the fields of all entries by place, for the differences."""
+
+    def check(
+        self, text: str, source: str, in_force: ContentT | None = None
+    ) -> Verdict:
+        """Return the verdict on a document, compared with the one in force if given."""
+        match self.parse(text, source):
             case Err(error):
                 return Verdict(source, None, (_to_finding(error),))
-            case Ok(configuration):
-                return self._check_parsed(configuration, source)
+            case Ok(content):
+                return self._check_content(content, source, in_force)
 
-    def _check_parsed(self, configuration: Configuration, source: str) -> Verdict:
-        """Return the verdict on a valid configuration."""
-        findings = [
-            finding for check in self._checks for finding in check.find(configuration)
-        ]
-        differences = None
-        if self._in_force is not None:
-            differences = find_differences(self._in_force, configuration)
-        return Verdict(source, configuration, tuple(findings), differences)
+    def _check_content(
+        self, content: ContentT, source: str, in_force: ContentT | None
+    ) -> Verdict:
+        """Return the verdict on the content of a valid document."""
+        checks, differences = self.checks, None
+        if in_force is not None:
+            checks = [VersionCheck(in_force), *checks]
+            before, after = self.entries(in_force), self.entries(content)
+            differences = find_differences(before, after)
+        findings = tuple(each for check in checks for each in check.find(content))
+        return Verdict(source, content, findings, differences)
 
 
 def _to_finding(error: ConfigurationError) -> Finding:
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/limits.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/limits.py
@@ -14,12 +14,12 @@
 _ZERO: Final = timedelta()
 
 
-class TargetCheck(ConfigurationCheck):
+class TargetCheck(ConfigurationCheck[Configuration]):
     """Finds classes whose target no answer can meet, or that nothing can miss."""
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield targets above the deadline, and limits of zero."""
-        for service in configuration.services:
+        for service in content.services:
             for each in service.classes:
                 yield from self._find_in_class(service, each)
 
@@ -50,16 +50,16 @@
             )
 
 
-class TargetConflictCheck(ConfigurationCheck):
+class TargetConflictCheck(ConfigurationCheck[Configuration]):
     """Finds classes of one name with different targets.
 
     Admission keeps the state of a class by its name, with the target of whichever
     class gets the first request.
     """
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield the classes whose target differs from an earlier one of their name."""
-        for service in configuration.services:
+        for service in content.services:
             first_by_name: dict[str, RequestClass] = {}
             for each in service.classes:
                 first = first_by_name.setdefault(each.name, each)
@@ -72,12 +72,12 @@
                     )
 
 
-class ConnectionsCheck(ConfigurationCheck):
+class ConnectionsCheck(ConfigurationCheck[Configuration]):
     """Finds backend servers with fewer connections than slots."""
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield the backend servers whose slots can't be filled by a request a flow."""
-        for service in configuration.services:
+        for service in content.services:
             for server in service.backend_servers:
                 if server.slots > server.connections:
                     yield warn(
@@ -88,15 +88,15 @@
                     )
 
 
-class ControlAddressCheck(ConfigurationCheck):
+class ControlAddressCheck(ConfigurationCheck[Configuration]):
     """Finds processes that share a control address, of which calls reach one only."""
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield the processes whose address an earlier one has."""
         places = {}
-        for balancer in configuration.balancers:
+        for balancer in content.balancers:
             places[balancer_place(balancer)] = balancer.control
-        for service in configuration.services:
+        for service in content.services:
             for server in service.backend_servers:
                 places[server_place(service, server)] = server.control
         first_by_address: dict[object, str] = {}
@@ -110,7 +110,7 @@
                 )
 
 
-class DrainCheck(ConfigurationCheck):
+class DrainCheck(ConfigurationCheck[Configuration]):
     """Finds classes that a shutdown may wait for longer than its grace period.
 
     A companion whose settings have no ``drain_limit`` waits for all running requests.
@@ -121,10 +121,10 @@
         """Compare with the time from the signal to the end of a process."""
         self._grace = grace
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield the classes whose requests may outlast the grace period."""
         grace = duration_text(self._grace)
-        for service in configuration.services:
+        for service in content.services:
             for each in service.classes:
                 place = class_place(service, each)
                 if each.is_stream:
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/messages.py
@@ -2,15 +2,22 @@
 
 import enum
 from collections.abc import Mapping
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 import attrs
 
-from pomelotrail_core.configuration import Configuration
-
 # A value of a document as it is written there.
 FieldValue: TypeAlias = str | int | float | bool
 Fields: TypeAlias = Mapping[str, FieldValue]
+Entries: TypeAlias = Mapping[str, Fields]
+
+
+class Versioned(Protocol):
+    """The content of a document."""
+
+    @property
+    def version(self) -> int:
+        """Return the version of the document."""
 
 
 class Level(enum.Enum):
@@ -73,12 +80,12 @@
 class Verdict:
     """The result of the check of one document.
 
-    ``configuration`` is None if the document would be refused as a whole, and
+    ``content`` is None if the document would be refused as a whole, and
     ``differences`` is None without a version in force to compare with.
     """
 
     source: str
-    configuration: Configuration | None
+    content: Versioned | None
     findings: tuple[Finding, ...]
     differences: tuple[Difference, ...] | None = None
 
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/places.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/places.py
@@ -1,5 +1,7 @@
 """Names of entries in findings and differences, such as ``services[ledger]``."""
 
+from collections.abc import Iterable
+
 from pomelotrail_core.configuration import (
     AvailabilityZone,
     BackendServer,
@@ -8,6 +10,8 @@
     Service,
 )
 
+from .messages import Entries, Fields
+
 
 def zone_place(zone: AvailabilityZone) -> str:
     """Return the place of an availability zone."""
@@ -32,3 +36,15 @@
 def server_place(service: Service, server: BackendServer) -> str:
     """Return the place of a backend server."""
     return f"{service_place(service)}.backend_servers[{server.name}]"
+
+
+def number_places(entries: Iterable[tuple[str, Fields]]) -> Entries:
+    """Return entries by place; the second of one place is that place with ``#2``."""
+    numbered: dict[str, Fields] = {}
+    for place, fields in entries:
+        number, unique = 1, place
+        while unique in numbered:
+            number += 1
+            unique = f"{place}#{number}"
+        numbered[unique] = fields
+    return numbered
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/tests/test_checks.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/tests/test_checks.py
@@ -198,16 +198,15 @@
         for text in (document().replace("slots: 5", "slots: many"), "- 1", "{"):
             verdict = ConfigurationChecker().check(text, "new.yaml")
             self.assertFalse(verdict.is_valid)
-            self.assertIsNone(verdict.configuration)
+            self.assertIsNone(verdict.content)
             self.assertTrue(verdict.errors[0].remedy)
 
     def test_warnings_and_differences(self) -> None:
         """A document with warnings is valid; it is compared with the one in force."""
         in_force = ConfigurationChecker().check(document(1), "old.yaml")
         self.assertEqual((in_force.findings, in_force.differences), ((), None))
-        checker = ConfigurationChecker(in_force.configuration)
         text = document(2).replace("connections: 2000", "connections: 1")
-        verdict = checker.check(text, "new.yaml")
+        verdict = ConfigurationChecker().check(text, "new.yaml", in_force.content)
         self.assertTrue(verdict.is_valid)
         self.assertEqual(len(verdict.warnings), 1)
         assert verdict.differences is not None
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/tests/test_differences.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/tests/test_differences.py
@@ -7,7 +7,14 @@
 from hypothesis import given
 
 from pomelotrail_core.configuration import Configuration
-from pomelotrail_core.configuration_check import Change, find_differences
+from pomelotrail_core.configuration_check import (
+    Change,
+    Difference,
+    find_differences,
+)
+from pomelotrail_core.configuration_check.configuration_entries import (
+    configuration_entries,
+)
 
 from .builders import (
     configurations,
@@ -27,7 +34,7 @@
         """A changed field has its value before and after, as documents write it."""
         changed = make_class(within=timedelta(seconds=2), share=0.9)
         new = make_configuration(make_service((changed,)))
-        (difference,) = find_differences(make_configuration(), new)
+        (difference,) = _compare(make_configuration(), new)
         self.assertEqual(difference.entry, f"{_LEDGER}.classes[read]")
         self.assertEqual(
             str(difference),
@@ -38,8 +45,8 @@
     def test_added_and_removed_entries(self) -> None:
         """An added entry has its fields; in the other direction it is removed."""
         old = make_configuration(make_service(servers=(make_server(),)))
-        (added,) = find_differences(old, make_configuration())
-        (removed,) = find_differences(make_configuration(), old)
+        (added,) = _compare(old, make_configuration())
+        (removed,) = _compare(make_configuration(), old)
         self.assertEqual((added.change, removed.change), (Change.ADDED, Change.REMOVED))
         self.assertEqual(added.entry, f"{_LEDGER}.backend_servers[ledger-2]")
         self.assertEqual(added.after, removed.before)
@@ -53,22 +60,27 @@
             make_configuration(make_service((make_class(deadline=each),)))
             for each in (deadline, deadline + timedelta(microseconds=1))
         )
-        self.assertEqual(len(find_differences(old, new)), 1)
+        self.assertEqual(len(_compare(old, new)), 1)
 
     def test_classes_of_one_name(self) -> None:
         """The second class of a name is an entry of its own."""
         classes = (make_class(), make_class(path="/b"))
         new = make_configuration(make_service(classes))
-        (difference,) = find_differences(make_configuration(), new)
+        (difference,) = _compare(make_configuration(), new)
         self.assertEqual(difference.entry, f"{_LEDGER}.classes[read]#2")
 
     @given(configurations(), configurations())
     def test_any_change_is_shown(self, old: Configuration, new: Configuration) -> None:
         """Configurations without differences are equal but for order and version."""
         later = attrs.evolve(old, version=old.version + 1)
-        self.assertEqual(find_differences(old, later), ())
+        self.assertEqual(_compare(old, later), ())
         is_same = _unordered(old) == _unordered(new)
-        self.assertEqual(find_differences(old, new) == (), is_same)
+        self.assertEqual(_compare(old, new) == (), is_same)
+
+
+def _compare(old: Configuration, new: Configuration) -> tuple[Difference, ...]:
+    """Return the differences of two configurations."""
+    return find_differences(configuration_entries(old), configuration_entries(new))
 
 
 def _unordered(configuration: Configuration) -> list[object]:
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/unmatched.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/unmatched.py
@@ -9,7 +9,7 @@
 from .places import balancer_place, class_place, service_place, zone_place
 
 
-class ShadowedClassCheck(ConfigurationCheck):
+class ShadowedClassCheck(ConfigurationCheck[Configuration]):
     """Finds classes all of whose requests belong to another class.
 
     The class with the longest matching path gets a request, and the first of several
@@ -17,9 +17,9 @@
     doesn't get any below it either.
     """
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield the shadowed classes."""
-        for service in configuration.services:
+        for service in content.services:
             for each in service.classes:
                 owner = service.request_class(each.method, each.path)
                 if owner is not None and owner is not each:
@@ -37,12 +37,12 @@
         )
 
 
-class QueryInPathCheck(ConfigurationCheck):
+class QueryInPathCheck(ConfigurationCheck[Configuration]):
     """Finds classes whose path has a query, which is cut off before classes match."""
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield the classes with a query."""
-        for service in configuration.services:
+        for service in content.services:
             for each in service.classes:
                 if "?" in each.path:
                     yield warn(
@@ -53,19 +53,19 @@
                     )
 
 
-class UnservedServiceCheck(ConfigurationCheck):
+class UnservedServiceCheck(ConfigurationCheck[Configuration]):
     """Finds services that no backend server can accept flows of."""
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield the services without a backend server in service."""
-        for service in configuration.services:
+        for service in content.services:
             if not service.backend_servers:
                 yield warn(
                     f"{service_place(service)}.backend_servers",
                     "gets no flow: it has no backend server in any zone",
                     "add a backend server, or remove the service",
                 )
-            elif not _is_served(service, configuration):
+            elif not _is_served(service, content):
                 yield warn(
                     f"{service_place(service)}.backend_servers",
                     "gets no flow: each backend server is out or in a zone that is out",
@@ -73,15 +73,15 @@
                 )
 
 
-class UnusedZoneCheck(ConfigurationCheck):
+class UnusedZoneCheck(ConfigurationCheck[Configuration]):
     """Finds availability zones that no balancer or backend server is in."""
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield the unused zones."""
-        used = {each.zone for each in configuration.balancers}
-        for service in configuration.services:
+        used = {each.zone for each in content.balancers}
+        for service in content.services:
             used.update(each.zone for each in service.backend_servers)
-        for zone in configuration.zones:
+        for zone in content.zones:
             if zone.name not in used:
                 yield warn(
                     zone_place(zone),
@@ -90,17 +90,17 @@
                 )
 
 
-class BalancersOutCheck(ConfigurationCheck):
+class BalancersOutCheck(ConfigurationCheck[Configuration]):
     """Finds a fleet whose balancers are all in zones that are out.
 
     The balancers don't have to be listed.
     """
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield a finding if all listed balancers are out."""
-        balancers = configuration.balancers
+        balancers = content.balancers
         if not balancers or any(
-            each.zone not in configuration.zones_out for each in balancers
+            each.zone not in content.zones_out for each in balancers
         ):
             return
         yield warn(
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/version.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/version.py
@@ -2,28 +2,26 @@
 
 from collections.abc import Iterator
 
-from pomelotrail_core.configuration import Configuration
-
 from .check import ConfigurationCheck
-from .messages import Finding, Level
+from .messages import Finding, Level, Versioned
 
 
-class VersionCheck(ConfigurationCheck):
+class VersionCheck(ConfigurationCheck[Versioned]):
     """Finds a version that processes don't adopt, since it isn't above theirs."""
 
-    def __init__(self, in_force: Configuration) -> None:
-        """Compare with the configuration in force."""
+    def __init__(self, in_force: Versioned) -> None:
+        """Compare with the version in force."""
         self._in_force = in_force
 
-    def find(self, configuration: Configuration) -> Iterator[Finding]:
+    def find(self, content: Versioned) -> Iterator[Finding]:
         """Yield a finding if the version isn't newer.
 
-        For the configuration in force itself it is a warning: nothing would be lost.
+        For the document in force itself it is a warning: nothing would be lost.
         """
-        version, version_in_force = configuration.version, self._in_force.version
+        version, version_in_force = content.version, self._in_force.version
         if version > version_in_force:
             return
-        is_same = configuration == self._in_force
+        is_same = content == self._in_force
         yield Finding(
             Level.WARNING if is_same else Level.ERROR,
             "version",
