Check of a configuration: control characters in names are escaped

A name of the platform's configuration may hold any text, so a finding could span lines; many routes of one name took quadratic time; and the remedy for an old version wrote a number that may be longer than Python writes. The tests of the check pass.

--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/limits.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/limits.py
@@ -15,7 +15,7 @@
 
 
 class TargetCheck(ConfigurationCheck[Configuration]):
-    """Finds classes whose target no answer can meet, or that nothing can miss."""
+    """Finds classes whose target is over their deadline, or 0."""
 
     def find(self, content: Configuration) -> Iterator[Finding]:
         """Yield targets above the deadline, and limits of zero."""
@@ -132,14 +132,14 @@
                         f"{place}.stream",
                         "answers stay open, so draining may outlast the grace period "
                         f"of {grace}",
-                        "set drain_limit in the settings of the companions below it",
+                        "set drain_limit in the settings of the companions to less",
                     )
                 elif each.deadline > self._grace:
                     yield warn(
                         f"{place}.deadline",
-                        f"draining may take the deadline of "
+                        "draining may take the deadline of "
                         f"{duration_text(each.deadline)}, over the grace period of "
                         f"{grace}",
                         "lower the deadline, or set drain_limit in the settings of the "
-                        "companions below the grace period",
+                        "companions to less than the grace period",
                     )
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/messages.py
@@ -38,7 +38,7 @@
 
     def __str__(self) -> str:
         """Return the level, the field, the problem and the remedy."""
-        place = f"{self.field}: " if self.field else ""
+        place = f"{_text(self.field)}: " if self.field else ""
         return f"{self.level.value}: {place}{self.problem}; {self.remedy}"
 
 
@@ -73,7 +73,7 @@
         else:
             fields = {**self.before, **self.after}
             changes = (f"{name} {_text(value)}" for name, value in fields.items())
-        return f"{self.change.value} {self.entry}: {', '.join(changes)}"
+        return f"{self.change.value} {_text(self.entry)}: {', '.join(changes)}"
 
 
 @attrs.frozen
@@ -110,7 +110,7 @@
 
 
 def _text(value: FieldValue) -> str:
-    """Return a value as YAML has it, with a text that isn't a plain word quoted."""
+    """Return a value as documents have it, with control characters escaped."""
     if isinstance(value, bool):
         return str(value).lower()
     if isinstance(value, str) and not value.isprintable():
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/places.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/places.py
@@ -1,5 +1,6 @@
 """Names of entries in findings and differences, such as ``services[ledger]``."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 from pomelotrail_core.configuration import (
@@ -41,10 +42,9 @@
 def number_places(entries: Iterable[tuple[str, Fields]]) -> Entries:
     """Return entries by place; the second of one place is that place with ``#2``."""
     numbered: dict[str, Fields] = {}
+    counts: Counter[str] = Counter()
     for place, fields in entries:
-        number, unique = 1, place
-        while unique in numbered:
-            number += 1
-            unique = f"{place}#{number}"
+        counts[place] += 1
+        unique = place if counts[place] == 1 else f"{place}#{counts[place]}"
         numbered[unique] = fields
     return numbered
--- a/packages/pomelotrail-core/pomelotrail_core/configuration_check/version.py
+++ b/packages/pomelotrail-core/pomelotrail_core/configuration_check/version.py
@@ -27,5 +27,5 @@
             "version",
             f"{version} is not above {version_in_force}, the version in force, so "
             "processes don't adopt the document",
-            f"write a version from {version_in_force + 1}",
+            f"write a version above {version_in_force}",
         )
