Admission by wait: callers that have waited are kept

Cause: with shares of the last half second, late flows are refused soon after an outage.

Change: for a retransmitted opening packet the share doesn't count; it is accepted if it would be answered in time behind the present requests.

Check: test_repeated_opening_in_a_long_burst fails before (no such field).

--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/admission.py
@@ -38,7 +38,9 @@
     A flow that can't meet its target, here or because its caller has already waited
     too long, is accepted if it would be answered well within its timeout. It waits
     until all present requests have run, in the time that new ones leave, which may meet
-    their target and go first. So none is kept waiting in vain in a long burst::
+    their target and go first. So none is kept waiting in vain in a long burst. For an
+    opening packet that was sent before, the present requests alone count: if its caller
+    is refused, it returns on a new flow, which takes the place of one on time::
 
         decision = AdmissionByWait().decide(flow, backlog)
     """
@@ -52,7 +54,9 @@
             if not each.is_late and each.priority <= flow.priority
         ]
         wait_on_time = _wait(backlog, ahead) / _left(backlog.urgent_share)
-        wait_late = _wait(backlog, queued) / _left(backlog.on_time_share)
+        wait_late = _wait(backlog, queued)
+        if not flow.is_repeated:
+            wait_late /= _left(backlog.on_time_share)
         is_on_time = wait_on_time <= flow.slack
         is_accepted = is_on_time or wait_late <= flow.max_wait
         return Decision(is_accepted, is_on_time, wait_on_time, wait_late)
--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/backlog.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/backlog.py
@@ -45,9 +45,11 @@
     """A flow that was offered, with the settings of its route.
 
     ``slack`` is how long its first request may wait and meet its target. A flow that
-    will be late waits for at most ``max_wait``.
+    will be late waits for at most ``max_wait``. ``is_repeated`` is set if the caller
+    has sent the opening packet before.
     """
 
     priority: int
     slack: timedelta
     max_wait: timedelta
+    is_repeated: bool = False
--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/builders.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/builders.py
@@ -31,9 +31,11 @@
 
 
 def flow(
-    slack_ms: int = 360, priority: int = ORDINARY, max_wait_ms: int = 0
+    slack_ms: int = 360,
+    priority: int = ORDINARY,
+    max_wait_ms: int = 0,
+    is_repeated: bool = False,
 ) -> NewFlow:
     """Return a flow of a route with a target of 400 ms, just opened."""
-    return NewFlow(
-        priority, timedelta(milliseconds=slack_ms), timedelta(milliseconds=max_wait_ms)
-    )
+    slack, max_wait = (timedelta(milliseconds=ms) for ms in (slack_ms, max_wait_ms))
+    return NewFlow(priority, slack, max_wait, is_repeated)
--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/test_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/test_admission.py
@@ -73,6 +73,12 @@
             backlogged = backlog(*queued(11), on_time_share=share)
             self.assertEqual(self.decide(late, backlogged).is_accepted, is_accepted)
 
+    def test_repeated_opening_in_a_long_burst(self) -> None:
+        """A caller that has waited is kept, rather than returning on a new flow."""
+        late = flow(slack_ms=-1, max_wait_ms=1_000, is_repeated=True)
+        backlogged = backlog(*queued(11), on_time_share=1.0)
+        self.assertTrue(self.decide(late, backlogged).is_accepted)
+
     def test_share_of_requests_on_time(self) -> None:
         """The share is that of the last half second."""
         share, now = OnTimeShare(), timedelta(seconds=9)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -75,7 +75,7 @@
         self._outages.record(offer.unsettled_ms, offer.era)
         self._gate.set_slots(offer.slots)
         self._flows.drop_unused_openings(now)
-        decision = self._decide_by_wait(offer, now)
+        decision = self._decide_by_wait(offer, packet, now)
         outcome = self._decide_outcome(offer, packet, decision, now)
         if outcome is Outcome.ACCEPTED:
             self._accept_opening(offer, packet, balancer, now)
@@ -124,7 +124,9 @@
             self._log.write(_PART, "server_may_be_cold")
         self._may_be_cold_until = now + RESTART_READ_DELAY
 
-    def _decide_by_wait(self, offer: Offer, now: timedelta) -> Decision | None:
+    def _decide_by_wait(
+        self, offer: Offer, packet: Packet, now: timedelta
+    ) -> Decision | None:
         """Return what the expected wait says of a flow; None without its age."""
         if offer.age_ms is None:
             return None
@@ -136,6 +138,7 @@
                 priority=offer.priority,
                 slack=left - backlog.work_upper_bound - ROUND_TRIP_TIME,
                 max_wait=(offer.max_wait_ms or 0) * MILLISECOND,
+                is_repeated=packet.retransmission_count > 0,
             ),
             backlog,
         )
