A flow opened in advance doesn't make its first request late

Cause: the age of a flow was counted from its opening until the first response. The first request of a caller that had opened the flow seconds before was taken for late at once, and ran after all others.

Change: when an opening isn't followed by a request in time, its age is forgotten.

Check: test_first_request_after_a_pause fails before (the request has waited for 1.2 s).

--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -35,7 +35,8 @@
     the server. ``requested`` is set while a request is expected or in progress, and
     ``started`` once it was forwarded to the backend server. ``age`` is how long the
     caller had waited when the flow was offered, if the offer told it; the first
-    response removes it, since later requests haven't waited.
+    response removes it, since later requests haven't waited, and so does a pause after
+    the handshake, since the flow was opened before there was a request.
     """
 
     flow: bytes
@@ -208,6 +209,7 @@
         while openings and now - openings[0].opened >= FIRST_REQUEST_TIMEOUT:
             entry = openings.popleft()
             if entry.caller_end is None:
+                entry.age = None
                 self._end_request(entry)
 
     def learn(self, flow: bytes, now: timedelta) -> ServerFlow:
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
@@ -31,6 +31,16 @@
         self.entry = self.flows.open(b"flow", ("192.0.2.1", 1), 1, _NOW)
         self.entry.is_open = True
 
+    def test_first_request_after_a_pause(self) -> None:
+        """A caller that opens a flow in advance hasn't waited since then."""
+        age = timedelta(milliseconds=200)
+        entry = self.flows.open(b"early", ("192.0.2.1", 1), 2, _NOW, age)
+        soon = _NOW + timedelta(milliseconds=10)
+        self.assertEqual(entry.waited(soon), age + soon - _NOW)
+        self.flows.drop_unused_openings(_NOW + FIRST_REQUEST_TIMEOUT)
+        self.flows.record_caller_data(entry, 100, 50, _NOW + _SECOND)
+        self.assertEqual(entry.waited(_NOW + _SECOND), timedelta())
+
     def test_opening_counts_as_request(self) -> None:
         """An opening flow counts, as its first request follows within a round trip."""
         self.assertEqual((self.flows.occupancy, self.flows.running), (1, 0))
