The queue of a server is bounded by number, too, where the wait decides

By the wait alone, a service that works for 50 microseconds on a request gets 30,000 of them, each with its packets, and each offer takes a time in proportion to them.

Check: test_long_queue_of_short_requests fails before (the flow is accepted).

--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/admission.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from .backlog import Backlog, NewFlow, QueuedWork
-from .const import MIN_LATE_SHARE
+from .const import MAX_QUEUED_PER_SLOT, MIN_LATE_SHARE
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -54,7 +54,8 @@
         left = max(MIN_LATE_SHARE, 1 - backlog.on_time_share)
         wait_late = _wait(backlog, queued) / left
         is_on_time = wait_on_time <= flow.slack
-        is_accepted = is_on_time or wait_late <= flow.max_wait
+        has_place = len(queued) < max(1, backlog.slots) * MAX_QUEUED_PER_SLOT
+        is_accepted = has_place and (is_on_time or wait_late <= flow.max_wait)
         return Decision(is_accepted, is_on_time, wait_on_time, wait_late)
 
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/const.py
@@ -8,3 +8,6 @@
 SHARE_WINDOW: Final = timedelta(milliseconds=1_500)
 # With less time left for late requests than this, the expected wait is without meaning.
 MIN_LATE_SHARE: Final = 0.02
+# Limits the memory for waiting requests of services that work for less than 1 ms, and
+# the time to decide on an offer, which grows with the requests.
+MAX_QUEUED_PER_SLOT: Final = 500
--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/test_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/test_admission.py
@@ -3,6 +3,8 @@
 import unittest
 from datetime import timedelta
 
+import msgspec
+
 from pomelotrail_companion.opening_wait import (
     AdmissionByWait,
     Backlog,
@@ -10,6 +12,7 @@
     NewFlow,
     OnTimeShare,
 )
+from pomelotrail_companion.opening_wait.const import MAX_QUEUED_PER_SLOT
 
 from .builders import ORDINARY, URGENT, WORK, backlog, flow, queued
 
@@ -91,6 +94,19 @@
         backlogged = backlog(running_ms=None, unanswered=4)
         self.assertEqual(self.decide(flow(), backlogged).wait_on_time, 4 * WORK)
 
+    def test_long_queue_of_short_requests(self) -> None:
+        """The number of waiting requests is bounded, however short they are."""
+        backlogged = msgspec.structs.replace(
+            backlog(*queued(MAX_QUEUED_PER_SLOT - 1)), work=timedelta(microseconds=1)
+        )
+        self.assertTrue(self.decide(flow(), backlogged).is_accepted)
+        longer = msgspec.structs.replace(
+            backlogged, queued=tuple(queued(MAX_QUEUED_PER_SLOT))
+        )
+        late = flow(slack_ms=-1, max_wait_ms=1_600)
+        self.assertFalse(self.decide(flow(), longer).is_accepted)
+        self.assertFalse(self.decide(late, longer).is_accepted)
+
     def test_free_server(self) -> None:
         """A flow doesn't wait for a free slot."""
         decision = self.decide(flow(slack_ms=0), backlog(running_ms=None))
