Requests run newest first again when a server has several slots

Cause: the first offer with an age changed the order of a companion's requests until it restarted, also one for another service, which balancers send to an address that is used again. An operator who gave a service more slots kept the order for one slot.

Change: several slots restore the order; offers for other services don't change it.

Check: test_slots_are_added fails before (the oldest runs first). test_one_slot passes before; it is the first test of the order at the gate.

--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -123,8 +123,8 @@
         self._may_be_cold_until = now + RESTART_READ_DELAY
 
     def _decide_by_wait(self, offer: Offer, now: timedelta) -> Decision | None:
-        """Return what the expected wait says of a flow; None without its age."""
-        if offer.age_ms is None:
+        """Return what the expected wait says of a flow; None if it doesn't decide."""
+        if offer.age_ms is None or offer.service != self._service:
             return None
         self._gate.order_by_deadline()
         backlog = self._gate.backlog(now)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
@@ -75,8 +75,15 @@
             self._queue.order_by(EarliestDeadlineFirst())
 
     def set_slots(self, slots: int) -> None:
-        """Set the number of slots from the backend server's directory entry."""
+        """Set the number of slots from the backend server's directory entry.
+
+        With several slots, flows aren't admitted by wait, and the newest requests go
+        first again.
+        """
         self._slots = max(1, slots)
+        if self._slots > 1 and self._is_by_deadline:
+            self._is_by_deadline = False
+            self._queue.order_by(OnTimeFirst())
 
     def admit(self, entry: ServerFlow, packet: Packet, now: timedelta) -> bool:
         """Return whether to forward a packet now; queue it otherwise."""
