--- a/harness/tests/test_hostile_datagrams.py
+++ b/harness/tests/test_hostile_datagrams.py
@@ -55,6 +55,8 @@
         st.integers(0, 10_000),
         _BYTES,
         st.integers(0, 10_000),
+        age_ms=st.none() | _NUMBERS,
+        max_wait_ms=st.none() | _NUMBERS,
     ),
     st.builds(
         OfferReply,
@@ -63,6 +65,7 @@
         _NUMBERS,
         _NUMBERS,
         st.floats(allow_nan=True),
+        wait_ms=st.none() | st.floats(allow_nan=True),
     ),
     st.builds(Owner, _BYTES),
     st.builds(
@@ -195,6 +198,10 @@
             ("unsettled_ms", 2_001),
             ("era", -1),
             ("start_per_s", -0.5),
+            ("age_ms", -1),
+            ("age_ms", 10**9),
+            ("max_wait_ms", -1),
+            ("max_wait_ms", 10**9),
         ):
             with self.subTest(field=field, value=value):
                 changed = msgspec.structs.replace(offer, **{field: value})
