Offers' log lines tell the longest wait; retransmissions count once

Cause: operators couldn't tell from a companion's line whether the limit or the wait had declined a flow, nor the wait that wait_late_ms is compared with. The metrics of accepted flows by priority counted a retransmission of an opening packet as another flow, mostly a late one, since it has an age.

Check: test_retransmission_counts_once fails before without the field, and with the field alone (one flow on time and one late instead of one on time).

--- a/harness/tests/test_opening_wait.py
+++ b/harness/tests/test_opening_wait.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
-from harness.flow_fleet import ROUTE_TIMEOUT, FlowFleet
+from harness.flow_fleet import FLEET_PORT, ROUTE_TIMEOUT, SERVICE, FlowFleet
 from harness.virtual_time import run_in_virtual_time
 from pomelotrail_balancer.placement.const import INITIAL_WORK_ESTIMATE, MAX_WAIT_SHARE
 from pomelotrail_core.datagram_callback import Address
 from pomelotrail_core.directory import ConfigurationItem, Listing
 from pomelotrail_core.endpoint import Endpoint
-from stand_ins.flows import StandInCaller
+from pomelotrail_core.offers import Offer, encode
+from stand_ins.flows import CODEC, StandInCaller, make_packet
 
 _TARGET_S: Final = 0.25
 _URGENT_ADDRESS: Final = ("198.51.100.2", 443)
@@ -156,6 +157,29 @@
         times = run_in_virtual_time(async_run())
         self.assertLess(max(times), _TARGET_S)
 
+    def test_retransmission_counts_once(self) -> None:
+        """Offers of one flow are one accepted flow, and their lines tell the limits."""
+
+        async def async_run() -> tuple[list[int | None], int]:
+            """Offer a flow twice, as for a retransmission of its opening packet."""
+            fleet = _start_fleet(servers=1, work_s=0.05)
+            (companion,) = fleet.servers
+            send = fleet.network.sender(("192.0.2.99", FLEET_PORT))
+            caller, service = Endpoint("198.51.100.9", 9), Endpoint("198.51.100.1", 443)
+            data = CODEC.encode(make_packet(caller.pack(), service.pack(), opens=True))
+            for number, age_ms in ((1, 0), (2, 200)):
+                offer = Offer(number, SERVICE, 1, 1, None, 1, 250, data)
+                offer = msgspec.structs.replace(offer, age_ms=age_ms, max_wait_ms=0)
+                send(encode(offer), (companion, FLEET_PORT))
+            await asyncio.sleep(1)
+            fleet.log.flush()
+            logged = fleet.lines.content.count(b'"max_wait_ms":0')
+            kinds = ("on_time", "late")
+            names = [f"flows_{kind}_priority_1" for kind in kinds]
+            return [fleet.counters.value(name) or 0 for name in names], logged
+
+        self.assertEqual(run_in_virtual_time(async_run()), ([1, 0], 2))
+
     def test_several_slots(self) -> None:
         """Where servers have several slots, offers tell no age."""
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -77,12 +77,13 @@
         self._flows.drop_unused_openings(now)
         decision = self._decide_by_wait(offer, now)
         outcome = self._decide_outcome(offer, packet, decision, now)
+        is_new = self._flows.get(packet.caller_flow) is None
         if outcome is Outcome.ACCEPTED:
             self._accept_opening(offer, packet, balancer, now)
         wait_ms = self._reported_wait_ms(decision, outcome)
         load = self._send_reply(offer.number, outcome, balancer, wait_ms)
         self._counters.add(f"offers_{outcome.name.lower()}")
-        if outcome is Outcome.ACCEPTED and decision is not None:
+        if outcome is Outcome.ACCEPTED and is_new and decision is not None:
             kind = "on_time" if decision.is_on_time else "late"
             priority = min(offer.priority, LOWEST_COUNTED_PRIORITY)
             self._counters.add(f"flows_{kind}_priority_{priority}")
@@ -228,12 +229,15 @@
         return load, len(self._flows), self._gate.work_ms
 
 
-def _wait_fields(offer: Offer, decision: Decision | None) -> dict[str, int | bool]:
+def _wait_fields(
+    offer: Offer, decision: Decision | None
+) -> dict[str, int | bool | None]:
     """Return the fields of the log line of an offer that the wait decided."""
     if decision is None:
         return {}
     return {
         "age_ms": offer.age_ms or 0,
+        "max_wait_ms": offer.max_wait_ms,
         "priority": offer.priority,
         "on_time": decision.is_on_time,
         "wait_on_time_ms": decision.wait_on_time // MILLISECOND,
