A reported processing time that rounds to nothing isn't used

Cause: a report below half a microsecond is in the plausible range, but as a time it is 0, and each placement at that companion then raised ZeroDivisionError. The fault is older than the placement by wait, which divides by the time in another place.

Change: such a report leaves the processing time as it is.

Check: test_report_of_no_work fails before (ZeroDivisionError).

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -48,8 +48,8 @@
         self, occupancy: int, flows: int, now: timedelta, work_ms: float = 0.0
     ) -> None:
         """Record a load report of the companion."""
-        if work_ms:
-            self.work = work_ms * _MILLISECOND
+        if work := work_ms * _MILLISECOND:
+            self.work = work
         self.occupancy = occupancy
         self.flows = flows
         self.offered_flows = 0
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
@@ -124,6 +124,12 @@
         ages = [choice.age for choice in self.declined(context)]
         self.assertEqual(set(ages), {None})
 
+    def test_report_of_no_work(self) -> None:
+        """A reported processing time below a microsecond can't be divided by."""
+        view = _busy(1, 100)
+        view.record_report(30, 0, _NOW, work_ms=1e-5)
+        self.assertIsNotNone(self.policy.choose(self.context(view), _NOW))
+
     def test_several_slots(self) -> None:
         """Where servers have several slots, the limit decides as before."""
         reports = ((1, 9), (2, 8))
