Companions of an earlier version queue flows that can't be on time

Cause: offers by the wait had the limit of a free slot. While versions are mixed, earlier companions read only the limit, so once all were busy they queued nothing, and new balancers refused flows that were queued before.

Change: offers to wait late have the limit of a queue by count, too. Companions that read the wait don't use it.

Check: test_companions_of_an_earlier_version fails before (limits 1 instead of 26).

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -93,7 +93,7 @@
         elif companion in self.declined:
             self.full.append(companion)
         self.declined.append(companion)
-        if choice.limit > companion.server.slots:
+        if choice.max_wait is None and choice.limit > companion.server.slots:
             self.full.append(companion)
 
 
@@ -177,9 +177,14 @@
         """Return the companion where a flow waits for the shortest time."""
         waits = [(self._load(each, now) * each.work, each) for each in companions]
         wait, chosen = min(waits, key=lambda pair: pair[0])
-        per_slot = max(1, int(context.max_wait / chosen.work))
-        per_slot = min(per_slot, MAX_REQUESTS_PER_SLOT)
-        return Choice(chosen, chosen.slots * per_slot, wait / chosen.work)
+        limit = self._queue_limit(chosen, context.max_wait)
+        return Choice(chosen, limit, wait / chosen.work)
+
+    @staticmethod
+    def _queue_limit(companion: CompanionView, max_wait: timedelta) -> int:
+        """Return the number of requests behind which a flow may wait."""
+        per_slot = max(1, int(max_wait / companion.work))
+        return companion.slots * min(per_slot, MAX_REQUESTS_PER_SLOT)
 
     def _load(self, companion: CompanionView, now: timedelta) -> float:
         """Return the load, including the cost of a hop to another zone."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
@@ -61,10 +61,13 @@
         extra = self._zone_load(companion) + self._random.random() * 0.01
         return companion.expected_wait(now) + extra * companion.work
 
-    @staticmethod
     def _choose(
-        waits: Sequence[tuple[timedelta, CompanionView]], max_wait: timedelta
+        self, waits: Sequence[tuple[timedelta, CompanionView]], max_wait: timedelta
     ) -> Choice:
-        """Return the companion with the shortest wait."""
+        """Return the companion with the shortest wait.
+
+        Companions of an earlier version read only the limit.
+        """
         wait, chosen = min(waits, key=lambda pair: pair[0])
-        return Choice(chosen, chosen.slots, wait / chosen.work, max_wait=max_wait)
+        limit = self._queue_limit(chosen, max_wait)
+        return Choice(chosen, limit, wait / chosen.work, max_wait=max_wait)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
@@ -96,6 +96,12 @@
         self.assertIsNotNone(choice)
         self.assertEqual(choice.max_wait, timedelta())
 
+    def test_companions_of_an_earlier_version(self) -> None:
+        """They read only the limit, so late flows have the one of a queue by count."""
+        context = self.context(*(_busy(number, 390) for number in range(1, 4)))
+        limits = [choice.limit for choice in self.declined(context)]
+        self.assertEqual(limits, [1_600 // 60] * MAX_LATE_DECLINED)
+
     def test_no_server_in_time(self) -> None:
         """A flow that can't meet its target anywhere is offered as late at once."""
         context = self.context(*(_busy(number, 390) for number in range(1, 9)))
