Reported waits count for flows of the same or a lower priority

Cause: a companion reports the wait of a flow of the offered priority, but balancers kept one wait for all. After an urgent offer, a server with a long queue of ordinary requests seemed to have the shortest: an ordinary flow was declined six times and refused although 4 of 16 servers had room on time. The other way round, an urgent flow was offered as a late one, or refused unasked where its route has no time for late ones.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_placer.py
@@ -131,6 +131,7 @@
             alternatives,
             max_wait=route.timeout * MAX_WAIT_SHARE,
             target=route.target_latency,
+            priority=route.priority,
             first_sent=self._clock.monotonic() - _time_until(packet),
         )
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/load_reports.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/load_reports.py
@@ -1,13 +1,13 @@
 """Load reports of companions, and which of them are believed."""
 
-from datetime import timedelta
-
 from pomelotrail_balancer.placement import CompanionView, is_plausible_report
 from pomelotrail_core.clock import Clock
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.offers import OfferReply, Pong
 
+from .const import MILLISECOND
+
 
 class LoadReports:
     """Records the load that companions report with their replies.
@@ -23,8 +23,13 @@
         self._counters = counters
         self._logged: set[str] = set()
 
-    def record(self, companion: CompanionView, reply: OfferReply | Pong) -> None:
-        """Record the report in a reply; the companion is no longer a suspect."""
+    def record(
+        self, companion: CompanionView, reply: OfferReply | Pong, priority: int = 0
+    ) -> None:
+        """Record the report in a reply; the companion is no longer a suspect.
+
+        ``priority`` is that of the offer.
+        """
         companion.is_suspect = False
         wait_ms = reply.wait_ms if isinstance(reply, OfferReply) else None
         if is_plausible_report(
@@ -33,7 +38,7 @@
             now = self._clock.monotonic()
             companion.record_report(reply.occupancy, reply.flows, now, reply.work_ms)
             if wait_ms is not None:
-                companion.record_wait(timedelta(milliseconds=wait_ms), now)
+                companion.record_wait(wait_ms * MILLISECOND, priority, now)
             return
         self._counters.add("reports_implausible")
         identity = companion.server.identity
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/offer_exchange.py
@@ -38,6 +38,7 @@
     companion: CompanionView
     record: FlowRecord
     sent_at: timedelta
+    priority: int
     has_reply: bool = False
     replies: asyncio.Queue[OfferReply] = msgspec.field(default_factory=asyncio.Queue)
 
@@ -83,7 +84,7 @@
         offer = pending or overdue
         if offer is None or offer.companion.fleet_address != sender:
             return
-        self._load_reports.record(offer.companion, message)
+        self._load_reports.record(offer.companion, message, offer.priority)
         if not offer.has_reply:
             offer.has_reply = True
             self._reply_time.record(self._clock.monotonic() - offer.sent_at)
@@ -108,7 +109,8 @@
         """
         companion = choice.companion
         number = next(self._numbers)
-        pending = _PendingOffer(companion, record, self._clock.monotonic())
+        now = self._clock.monotonic()
+        pending = _PendingOffer(companion, record, now, route.priority)
         self._pending[number] = pending
         self._send_offer(number, choice, route, packet)
         backed_off = self._reply_time.backed_off_timeout(OFFER_TIMEOUT)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from pomelotrail_core.directory import BackendServer
+from pomelotrail_core.offers import LOWEST_COUNTED_PRIORITY
 
 from .const import (
     INITIAL_WORK_ESTIMATE,
@@ -23,9 +24,10 @@
     """A companion with the load that it last reported.
 
     ``offered_flows`` counts the flows offered since that report. ``work`` is the
-    processing time of a request that the companion observed. ``wait`` is the time that
-    a flow which can meet its target waited for a slot at ``wait_reported_at``. Until
-    ``unsure_until``, the companion probably doesn't know all flows of its server.
+    processing time of a request that the companion observed. ``waits`` has the time
+    that a flow which can meet its target waited for a slot, and when that was reported,
+    by the priority of the flow. Until ``unsure_until``, the companion probably doesn't
+    know all flows of its server.
     """
 
     server: BackendServer
@@ -39,8 +41,7 @@
     offered_flows: int = 0
     reported_at: timedelta | None = None
     work: timedelta = INITIAL_WORK_ESTIMATE
-    wait: timedelta = timedelta()
-    wait_reported_at: timedelta | None = None
+    waits: dict[int, tuple[timedelta, timedelta]] = msgspec.field(default_factory=dict)
     is_suspect: bool = False
     unsure_until: timedelta = timedelta()
 
@@ -68,17 +69,26 @@
         completed = (now - self.reported_at) / self.work * self.slots
         return self.offered_flows + max(0.0, self.occupancy - completed)
 
-    def record_wait(self, wait: timedelta, now: timedelta) -> None:
-        """Record the wait that the companion reported."""
-        self.wait = wait
-        self.wait_reported_at = now
+    def record_wait(self, wait: timedelta, priority: int, now: timedelta) -> None:
+        """Record the wait that the companion reported to a flow of some priority."""
+        self.waits[min(priority, LOWEST_COUNTED_PRIORITY)] = (wait, now)
 
-    def expected_wait(self, now: timedelta) -> timedelta:
-        """Return the expected wait for a slot of a flow that can meet its target."""
-        if self.wait_reported_at is None:
+    def expected_wait(self, priority: int, now: timedelta) -> timedelta:
+        """Return the expected wait for a slot of a flow that can meet its target.
+
+        It is at least that of flows of a higher priority, which go first. Reports to
+        flows of a lower priority tell nothing.
+        """
+        if not self.waits:
             return self.estimated_requests(now) * self.work / self.slots
         since = self.offered_flows * self.work / self.slots
-        return since + max(timedelta(), self.wait - (now - self.wait_reported_at))
+        rank = min(priority, LOWEST_COUNTED_PRIORITY)
+        known = (
+            wait - (now - reported_at)
+            for other, (wait, reported_at) in self.waits.items()
+            if other <= rank
+        )
+        return since + max((timedelta(), *known))
 
     def load(self, now: timedelta) -> float:
         """Return the estimated load per slot, including open flows."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -53,6 +53,7 @@
     late_declines: int = 0
     max_wait: timedelta = DEFAULT_MAX_WAIT
     target: timedelta = DEFAULT_TARGET
+    priority: int = 0
     first_sent: timedelta = timedelta()
 
     @property
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
@@ -39,7 +39,7 @@
         if len(context.declined_on_time) < MAX_ON_TIME_DECLINED:
             left = context.target - context.age(now)
             waits = (
-                (self._wait_on_time(each, now), each)
+                (self._wait_on_time(each, context.priority, now), each)
                 for each in companions
                 if each not in context.declined_on_time
             )
@@ -52,14 +52,16 @@
         waits = [(self._load(each, now) * each.work, each) for each in companions]
         return self._choose(waits, max_wait)
 
-    def _wait_on_time(self, companion: CompanionView, now: timedelta) -> timedelta:
+    def _wait_on_time(
+        self, companion: CompanionView, priority: int, now: timedelta
+    ) -> timedelta:
         """Return the expected wait of an on-time flow, with the cost of the hop.
 
         Old reports expect no wait. The random part keeps all balancers of a zone from
         choosing the same companion then.
         """
         extra = self._zone_load(companion) + self._random.random() * 0.01
-        return companion.expected_wait(now) + extra * companion.work
+        return companion.expected_wait(priority, now) + extra * companion.work
 
     def _choose(
         self, waits: Sequence[tuple[timedelta, CompanionView]], max_wait: timedelta
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/tests/test_shortest_wait.py
@@ -21,10 +21,12 @@
 _TARGET = timedelta(milliseconds=400)
 
 
-def _busy(number: int, wait_ms: int, occupancy: int = 30) -> CompanionView:
+def _busy(
+    number: int, wait_ms: int, occupancy: int = 30, priority: int = 2
+) -> CompanionView:
     """Return a companion whose server has one slot and a queue."""
     view = companion(number, occupancy, slots=1, reported_ms=100)
-    view.record_wait(timedelta(milliseconds=wait_ms), _NOW)
+    view.record_wait(timedelta(milliseconds=wait_ms), priority, _NOW)
     return view
 
 
@@ -42,6 +44,7 @@
             companions,
             max_wait=timedelta(seconds=1.6),
             target=_TARGET,
+            priority=2,
             first_sent=_NOW - timedelta(milliseconds=age_ms),
         )
 
@@ -102,6 +105,21 @@
         limits = [choice.limit for choice in self.declined(context)]
         self.assertEqual(limits, [1_600 // 60] * MAX_LATE_DECLINED)
 
+    def test_reports_to_urgent_flows(self) -> None:
+        """The short wait of urgent flows attracts no others."""
+        views = [_busy(number, 300) for number in range(1, 9)]
+        for view in views:
+            view.record_wait(timedelta(milliseconds=20), 1, _NOW)
+        with_room = _busy(9, 200)
+        choice = self.policy.choose(self.context(*views, with_room), _NOW)
+        self.assertIs(choice.companion, with_room)
+
+    def test_reports_to_ordinary_flows(self) -> None:
+        """An urgent flow is offered on time although others would be late."""
+        context = self.context(*(_busy(number, 390) for number in range(1, 9)))
+        context.priority = 1
+        self.assertEqual(self.policy.choose(context, _NOW).max_wait, timedelta())
+
     def test_no_server_in_time(self) -> None:
         """A flow that can't meet its target anywhere is offered as late at once."""
         context = self.context(*(_busy(number, 390) for number in range(1, 9)))
@@ -118,10 +136,10 @@
         """A reported wait counts less with time, and more with each further offer."""
         view = _busy(1, 100)
         later = _NOW + timedelta(milliseconds=70)
-        self.assertEqual(view.expected_wait(later), timedelta(milliseconds=30))
+        self.assertEqual(view.expected_wait(2, later), timedelta(milliseconds=30))
         view.offered_flows = 2
         expected = timedelta(milliseconds=30) + 2 * view.work
-        self.assertEqual(view.expected_wait(later), expected)
+        self.assertEqual(view.expected_wait(2, later), expected)
 
     def test_alternative_with_several_slots(self) -> None:
         """No server with several slots is asked by the wait."""
