--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -24,10 +24,10 @@
     """A companion with the load that it last reported.
 
     ``offered_flows`` counts the flows offered since that report. ``work`` is the
-    processing time of a request that the companion observed. ``waits`` has the time
-    that a flow which can meet its target waited for a slot, and when that was reported,
-    by the priority of the flow. Until ``unsure_until``, the companion probably doesn't
-    know all flows of its server.
+    processing time of a request that the companion observed. ``free_at`` is when a slot
+    is free for a flow that can meet its target, as last reported to flows of each
+    priority. Until ``unsure_until``, the companion probably doesn't know all flows of
+    its server.
     """
 
     server: BackendServer
@@ -41,7 +41,7 @@
     offered_flows: int = 0
     reported_at: timedelta | None = None
     work: timedelta = INITIAL_WORK_ESTIMATE
-    waits: dict[int, tuple[timedelta, timedelta]] = msgspec.field(default_factory=dict)
+    free_at: dict[int, timedelta] = msgspec.field(default_factory=dict)
     is_suspect: bool = False
     unsure_until: timedelta = timedelta()
 
@@ -71,7 +71,7 @@
 
     def record_wait(self, wait: timedelta, priority: int, now: timedelta) -> None:
         """Record the wait that the companion reported to a flow of some priority."""
-        self.waits[min(priority, LOWEST_COUNTED_PRIORITY)] = (wait, now)
+        self.free_at[min(priority, LOWEST_COUNTED_PRIORITY)] = now + wait
 
     def expected_wait(self, priority: int, now: timedelta) -> timedelta:
         """Return the expected wait for a slot of a flow that can meet its target.
@@ -79,16 +79,13 @@
         It is at least that of flows of a higher priority, which go first. Reports to
         flows of a lower priority tell nothing.
         """
-        if not self.waits:
+        if not self.free_at:
             return self.estimated_requests(now) * self.work / self.slots
-        since = self.offered_flows * self.work / self.slots
-        rank = min(priority, LOWEST_COUNTED_PRIORITY)
-        known = (
-            wait - (now - reported_at)
-            for other, (wait, reported_at) in self.waits.items()
-            if other <= rank
-        )
-        return since + max((timedelta(), *known))
+        rank, free_at = min(priority, LOWEST_COUNTED_PRIORITY), now
+        for other, reported in self.free_at.items():
+            if other <= rank and reported > free_at:
+                free_at = reported
+        return self.offered_flows * self.work / self.slots + (free_at - now)
 
     def load(self, now: timedelta) -> float:
         """Return the estimated load per slot, including open flows."""
