--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/load_reports.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/load_reports.py
@@ -33,11 +33,16 @@
         self._logged: set[str] = set()
 
     def record(
-        self, companion: CompanionView, reply: OfferReply | Pong, route: bytes = b""
+        self,
+        companion: CompanionView,
+        reply: OfferReply | Pong,
+        route: bytes = b"",
+        priority: int = 0,
     ) -> None:
         """Record the report in a reply; the companion is no longer a suspect.
 
-        ``route`` is the address of the service whose flow was offered.
+        ``route`` is the address of the service whose flow was offered, and ``priority``
+        that of the offer.
         """
         companion.is_suspect = False
         wait_ms = reply.wait_ms if isinstance(reply, OfferReply) else None
@@ -54,7 +59,7 @@
                 reply.occupancy, reply.flows, now, work_ms, reply.concurrency
             )
             if wait_ms is not None:
-                companion.record_wait(timedelta(milliseconds=wait_ms), now)
+                companion.record_wait(wait_ms * MILLISECOND, priority, now)
             return
         self._counters.add("reports_implausible")
         identity = companion.server.identity
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/companion_view.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from pomelotrail_core.directory import BackendServer
+from pomelotrail_core.offers import LOWEST_COUNTED_PRIORITY
 
 from .const import (
     INITIAL_WORK_ESTIMATE,
@@ -25,12 +26,12 @@
     """A companion with the load that it last reported.
 
     ``offered_flows`` counts the flows offered since that report. ``work`` is the
-    processing time of a request that the companion observed. ``wait`` is the time that
-    a flow which can meet its target waited for a slot at ``wait_reported_at``. Until
-    ``unsure_until``, the companion probably doesn't know all flows of its server.
-    ``route_works`` has the processing times on routes in milliseconds and the share of
-    recent reports each. ``concurrency`` is how many concurrent requests the server
-    takes well; 0 if unknown.
+    processing time of a request that the companion observed. ``free_at`` is when a slot
+    is free for a flow that can meet its target, as last reported to flows of each
+    priority. Until ``unsure_until``, the companion probably doesn't know all flows of
+    its server. ``route_works`` has the processing times on routes in milliseconds and
+    the share of recent reports each. ``concurrency`` is how many concurrent requests
+    the server takes well; 0 if unknown.
     """
 
     server: BackendServer
@@ -44,8 +45,7 @@
     offered_flows: int = 0
     reported_at: timedelta | None = None
     work: timedelta = INITIAL_WORK_ESTIMATE
-    wait: timedelta = timedelta()
-    wait_reported_at: timedelta | None = None
+    free_at: dict[int, timedelta] = msgspec.field(default_factory=dict)
     is_suspect: bool = False
     unsure_until: timedelta = timedelta()
     concurrency: int = 0
@@ -60,8 +60,8 @@
         concurrency: int = 0,
     ) -> None:
         """Record a load report of the companion."""
-        if work_ms:
-            self.work = work_ms * _MILLISECOND
+        if work := work_ms * _MILLISECOND:
+            self.work = work
         self.concurrency = concurrency
         self.occupancy = occupancy
         self.flows = flows
@@ -98,17 +98,23 @@
         completed = (now - self.reported_at) / self.work * self.slots
         return self.offered_flows + max(0.0, self.occupancy - completed)
 
-    def record_wait(self, wait: timedelta, now: timedelta) -> None:
-        """Record the wait that the companion reported."""
-        self.wait = wait
-        self.wait_reported_at = now
+    def record_wait(self, wait: timedelta, priority: int, now: timedelta) -> None:
+        """Record the wait that the companion reported to a flow of some priority."""
+        self.free_at[min(priority, LOWEST_COUNTED_PRIORITY)] = now + wait
 
-    def expected_wait(self, now: timedelta) -> timedelta:
-        """Return the expected wait for a slot of a flow that can meet its target."""
-        if self.wait_reported_at is None:
+    def expected_wait(self, priority: int, now: timedelta) -> timedelta:
+        """Return the expected wait for a slot of a flow that can meet its target.
+
+        It is at least that of flows of a higher priority, which go first. Reports to
+        flows of a lower priority tell nothing.
+        """
+        if not self.free_at:
             return self.estimated_requests(now) * self.work / self.slots
-        since = self.offered_flows * self.work / self.slots
-        return since + max(timedelta(), self.wait - (now - self.wait_reported_at))
+        rank, free_at = min(priority, LOWEST_COUNTED_PRIORITY), now
+        for other, reported in self.free_at.items():
+            if other <= rank and reported > free_at:
+                free_at = reported
+        return self.offered_flows * self.work / self.slots + (free_at - now)
 
     def load(self, now: timedelta) -> float:
         """Return the estimated load per slot, including open flows."""
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/policy.py
@@ -56,6 +56,7 @@
     late_declines: int = 0
     max_wait: timedelta = DEFAULT_MAX_WAIT
     target: timedelta = DEFAULT_TARGET
+    priority: int = 0
     first_sent: timedelta = timedelta()
     speeds: Mapping[CompanionView, float] = msgspec.field(default_factory=dict)
 
@@ -97,7 +98,7 @@
         elif companion in self.declined:
             self.full.append(companion)
         self.declined.append(companion)
-        if choice.may_wait:
+        if choice.may_wait and choice.max_wait is None:
             self.full.append(companion)
 
 
@@ -200,12 +201,17 @@
             longer = 1.0 - context.speeds.get(each, 1.0)
             waits.append(((self._load(each, now) + longer) * each.work, each))
         wait, chosen = min(waits, key=lambda pair: pair[0])
-        per_slot = max(1, int(context.max_wait / chosen.work))
-        limit = chosen.slots * min(per_slot, MAX_REQUESTS_PER_SLOT)
+        limit = self._queue_limit(chosen, context.max_wait)
         speed = context.speeds.get(chosen, 1.0)
         may_wait = limit > chosen.slots
         return Choice(chosen, limit, wait / chosen.work, speed, may_wait)
 
+    @staticmethod
+    def _queue_limit(companion: CompanionView, max_wait: timedelta) -> int:
+        """Return the number of requests behind which a flow may wait."""
+        per_slot = max(1, int(max_wait / companion.work))
+        return companion.slots * min(per_slot, MAX_REQUESTS_PER_SLOT)
+
     def _load(self, companion: CompanionView, now: timedelta) -> float:
         """Return the load, including the cost of a hop to another zone."""
         load = companion.load(now) + self._zone_load(companion)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
@@ -64,16 +64,20 @@
         """
         longer = 1.0 - context.speeds.get(companion, 1.0)
         extra = self._zone_load(companion) + longer + self._random.random() * 0.01
-        return companion.expected_wait(now) + extra * companion.work
+        wait = companion.expected_wait(context.priority, now)
+        return wait + extra * companion.work
 
-    @staticmethod
     def _choose(
+        self,
         waits: Sequence[tuple[timedelta, CompanionView]],
         context: PlacementContext,
         max_wait: timedelta,
     ) -> Choice:
-        """Return the companion with the shortest wait."""
+        """Return the companion with the shortest wait.
+
+        Companions of an earlier version read only the limit.
+        """
         wait, chosen = min(waits, key=lambda pair: pair[0])
+        limit = self._queue_limit(chosen, max_wait)
         speed = context.speeds.get(chosen, 1.0)
-        load = wait / chosen.work
-        return Choice(chosen, chosen.slots, load, speed, max_wait=max_wait)
+        return Choice(chosen, limit, wait / chosen.work, speed, max_wait=max_wait)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -36,7 +36,8 @@
     ``started`` once it was forwarded to the backend server; ``concurrency`` is the
     number of requests that it then ran. ``age`` is how long the caller had waited when
     the flow was offered, if the offer told it; the first response removes it, since
-    later requests haven't waited.
+    later requests haven't waited, and so does a pause after the handshake, since the
+    flow was opened before there was a request.
     """
 
     flow: bytes
@@ -210,6 +211,7 @@
         while openings and now - openings[0].opened >= FIRST_REQUEST_TIMEOUT:
             entry = openings.popleft()
             if entry.caller_end is None:
+                entry.age = None
                 self._end_request(entry)
 
     def learn(self, flow: bytes, now: timedelta) -> ServerFlow:
