Test of a deadline: it begins when the client has started

Cause: the deadline of 50 ms ran from before the server and its client were started. At a load of 25 it was over before the connection, and the answer was rightly 'not run'; seen once in a run of all tests of the companion.

Change: the deadline is set once both run, and is 500 ms. The assertion is the same.

--- a/packages/pomelotrail-companion/pomelotrail_companion/backend/tests/test_client.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/backend/tests/test_client.py
@@ -159,8 +159,9 @@
     async def test_the_deadline_ends_an_idempotent_request(self) -> None:
         """A server that misses the deadline gives no complete answer."""
         clock = SystemClock()
-        late = request("GET", deadline=deadline(clock, timedelta(milliseconds=50)))
-        answer = await self._async_send_request(ScriptedServer(lambda _: None), late)
+        async with async_start_client(ScriptedServer(lambda _: None)) as client:
+            late = request("GET", deadline=deadline(clock, timedelta(milliseconds=500)))
+            answer = await client.async_handle(late)
         self._assert_refused(answer, RefusalKind.BACKEND_FAILED, Outcome.UNKNOWN)
 
     async def test_a_cancelled_request_is_cancelled_at_the_server(self) -> None:
