Speeds: eight answers are evidence, not three

Change: a route is reported from eight recent answers on, and each answer but the first counts as three times the average at most.

--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/const.py
@@ -19,8 +19,9 @@
 # slow server, the average covers twice as many responses as it needs.
 MIN_SPEED_WINDOW: Final = timedelta(seconds=4)
 SPEED_WINDOW_WORK_FACTOR: Final = 40
-# Below this many recent responses, the average is mostly chance.
-MIN_SPEED_RESPONSES: Final = 3.0
+# Below this many recent responses, the average is mostly chance: one long request among
+# three doubles it.
+MIN_SPEED_RESPONSES: Final = 8.0
 # Averages of less than half a response start anew.
 MIN_KEPT_EVIDENCE: Final = 0.5
 # A few requests take many times as long as the others of their kind. They count as
--- a/packages/pomelotrail-companion/pomelotrail_companion/request_queue/route_work.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/request_queue/route_work.py
@@ -53,8 +53,7 @@
             self._works[route] = _Work(duration, 1.0, now)
             return
         self._works[route] = work
-        if evidence >= MIN_SPEED_RESPONSES:
-            duration = min(duration, work.average * MAX_RESPONSE_FACTOR)
+        duration = min(duration, work.average * MAX_RESPONSE_FACTOR)
         work.responses = min(evidence + 1.0, SPEED_RESPONSES)
         work.average += (duration - work.average) / work.responses
         work.updated = now
