--- a/harness/flow_fleet.py
+++ b/harness/flow_fleet.py
@@ -207,6 +207,7 @@
             self.network.sender((host, PACKETS_PORT)),
             self.network.sender((host, FLEET_PORT)),
             self.network.sender((host, FROM_SERVER_PORT)),
+            learns_speed=True,
         )
         self.network.listen((host, PACKETS_PORT), proxy.receive_packet)
         self.network.listen((host, FLEET_PORT), proxy.receive_message)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/request_gate.py
@@ -30,16 +30,19 @@
         flows: ServerFlows,
         estimate: WorkEstimate,
         learnt: LearntConcurrency | None,
+        learns_speed: bool = False,
     ) -> None:
         """Limit the requests of the server whose flows are tracked.
 
-        Without ``learnt``, all slots are used.
+        Without ``learnt``, all slots are used; without ``learns_speed``, processing
+        times of routes aren't reported.
         """
         self._flows = flows
         self._estimate = estimate
         self._queue = RequestQueue(OnTimeFirst(), self._estimate)
         self._route_work = RouteWork()
         self._learnt = learnt
+        self._learns_speed = learns_speed
         self._limit: int | None = None
         self._slots: int | None = None
 
@@ -58,7 +61,7 @@
         With several slots, the number of requests in progress shows how fast a server
         is, and its processing times depend on that number.
         """
-        if self._slots != 1:
+        if self._slots != 1 or not self._learns_speed:
             return None
         average = self._route_work.average(flow[PACKED_ENDPOINT_BYTES:], now)
         return average / MILLISECOND if average is not None else None
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -57,13 +57,15 @@
         send_message: SendDatagram,
         send_to_server: SendDatagram,
         learns_concurrency: bool = False,
+        learns_speed: bool = False,
     ) -> None:
         """Initialize the proxy of a backend server of the service.
 
         ``is_first_start`` means that no earlier process of this companion can have
         accepted flows; ``process_started`` is the time of day when this one started.
         No flow lasts longer than ``max_flow_duration``. With ``learns_concurrency``,
-        a server that slows down before it is full gets fewer concurrent requests.
+        a server that slows down before it is full gets fewer concurrent requests. With
+        ``learns_speed``, balancers learn how fast a server with one slot is.
         """
         self._addresses = addresses
         self._label = service_label(service)
@@ -77,7 +79,7 @@
         estimate = WorkEstimate()
         self._flows = ServerFlows(estimate, max_flow_duration)
         learnt = LearntConcurrency() if learns_concurrency else None
-        self._gate = RequestGate(self._flows, estimate, learnt)
+        self._gate = RequestGate(self._flows, estimate, learnt, learns_speed)
         self._ownership = Ownership(
             service,
             is_first_start,
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_request_gate.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_request_gate.py
@@ -19,7 +19,9 @@
         """Create the gate of an idle server."""
         estimate = WorkEstimate()
         self.flows = ServerFlows(estimate, timedelta(seconds=60))
-        self.gate = RequestGate(self.flows, estimate, LearntConcurrency())
+        self.gate = RequestGate(
+            self.flows, estimate, LearntConcurrency(), learns_speed=True
+        )
         self.now = timedelta()
         self.callers = 0
 
@@ -52,6 +54,14 @@
         self.gate.set_slots(2)
         self.assertIsNone(self.gate.route_work_ms(bytes(6) + _ROUTES[0], self.now))
 
+    def test_off_by_default(self) -> None:
+        """Without the option, no processing time of a route is reported."""
+        self.gate = RequestGate(self.flows, WorkEstimate(), None)
+        self.gate.set_slots(1)
+        for _ in range(10):
+            self.answer(self.request(), work_ms=10)
+        self.assertIsNone(self.gate.route_work_ms(bytes(6) + _ROUTES[0], self.now))
+
     def test_resets_are_no_speed(self) -> None:
         """Requests that end without a response don't count, however soon they do."""
         self.gate.set_slots(1)
