Companion: a packet that matches no tracked flow is probed while flows may be missing

A companion that had restarted denied a flow of its server without asking it, if a late copy of the flow's opening had given it an entry with the same addresses: the packet didn't match the entry, and that counted as a denial. All had then denied a live flow, and it was reset.

Such a packet is now treated like one without an entry: probed while the companion may lack flows, denied otherwise. The server's reply to the probe replaces the entry.

test_late_copy_of_the_opening_of_a_known_flow failed before with "AssertionError: None != b'answer to two'" (the flow was reset), and passes. Tests of flow lookups, ends, paths, relearning and admission: 67 passed, 0 failed.

--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
@@ -112,7 +112,10 @@
         self._send_message(encode(reply), balancer)
 
     def handle_unknown_flow(self, packet: Packet, balancer: Address) -> None:
-        """Probe the backend server for a flow, or deny ownership."""
+        """Probe the backend server for a flow that isn't tracked, or deny ownership.
+
+        Another flow between the same addresses may be tracked.
+        """
         if self._has_all_flows():
             self.deny(packet, packet.mark, balancer)
             return
@@ -125,6 +128,10 @@
         self._forward(packet)
         self._counters.add("probes")
 
+    def is_probing(self, flow: bytes) -> bool:
+        """Return whether the server's reply to a probe of a flow is awaited."""
+        return flow in self._probes
+
     def handle_returned_probe(self, packet: Packet) -> None:
         """Deny ownership of a flow whose probe the backend server returned."""
         probe = self._probes.pop(packet.caller_flow, None)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -186,6 +186,7 @@
 
     def learn(self, flow: bytes, now: timedelta) -> ServerFlow:
         """Add an open flow that an earlier process of this companion accepted."""
+        self.remove(flow)
         entry = ServerFlow(flow, now, None, ("", 0), is_open=True)
         self._add(entry, now)
         return entry
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -176,12 +176,10 @@
             self._ownership.deny(packet, packet.mark, balancer)
             return
         entry = self._flows.get(packet.caller_flow)
-        if entry is None:
-            self._ownership.handle_unknown_flow(packet, balancer)
-        elif self._matches_flow(entry, packet):
+        if entry is not None and self._matches_flow(entry, packet):
             self._deliver(entry, packet, balancer)
         else:
-            self._ownership.deny(packet, packet.mark, balancer)
+            self._ownership.handle_unknown_flow(packet, balancer)
 
     def _relay_probe(self, request: ProbeRequest, sender: Address) -> None:
         """Send the packet of a balancer on a slow link to several companions."""
@@ -286,7 +284,7 @@
         if packet.accepts:
             if entry is not None:
                 entry.initial_sequence = packet.sequence
-        elif entry is None:
+        elif entry is None or (not entry.is_open and self._ownership.is_probing(flow)):
             entry = self._learn(flow, now)
         if entry is not None:
             entry.last_used = now
@@ -331,6 +329,7 @@
     def _learn(self, flow: bytes, now: timedelta) -> ServerFlow:
         """Add an unknown flow for which the backend server has sent a packet.
 
+        It replaces an opening between the same addresses, which the probe didn't match.
         If the probe carried a request, that request is in progress at the server.
         """
         probe = self._ownership.confirm_owner(flow)
