Companion: an accepted opening is kept, and its caller's packet goes there directly

A companion forgot an opening 1.5 s after its backend server had accepted it and then denied the flow, while the caller, for which the flow was open, retransmitted.

From the server's answer on, an opening is kept like an open flow. It counts neither as load nor as an open flow after 250 ms, and is evicted first; without an answer it is dropped as before. The answer of a server that comes after that makes the record again, and a returned copy of an accepted opening doesn't remove it. A reply to a lookup names accepted openings in a new last field, which earlier versions ignore; the balancer sends the packet and its retransmissions there directly, and doesn't take the companion for unsure of other flows.

Two conclusions had to be kept apart: a flow that its server returns before it was used shows a restart only within 1.5 s of its opening, and another opening of the port after that time is a new flow, which needs a free slot.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_lookup.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_lookup.py
@@ -17,10 +17,12 @@
     ``first_packet`` started the lookup, ``held_packets`` arrived after it. Servers
     are listed by identity: those in ``denied`` don't own the flow, those in
     ``awaited`` were queried and have not replied. ``probed`` maps the address of a
-    companion to the server that a packet was sent to. ``full_rounds`` counts how often
-    all companions that had not denied the flow were queried. ``is_complete`` is set
-    once the directory had all entries that the store had when the lookup started.
-    ``is_widened`` is set once servers of all services may be probed.
+    companion to the server that a packet was sent to. ``accepted_by`` has the
+    companions whose server accepted the opening and hasn't denied the flow.
+    ``full_rounds`` counts how often all companions that had not denied the flow were
+    queried. ``is_complete`` is set once the directory had all entries that the store
+    had when the lookup started. ``is_widened`` is set once servers of all services may
+    be probed.
     """
 
     flow: bytes
@@ -32,6 +34,7 @@
     denied: set[str] = msgspec.field(default_factory=set)
     awaited: set[str] = msgspec.field(default_factory=set)
     probed: dict[Address, str] = msgspec.field(default_factory=dict)
+    accepted_by: dict[Address, CompanionView] = msgspec.field(default_factory=dict)
     full_rounds: int = 0
     is_checking: bool = False
     is_complete: bool = False
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -88,6 +88,8 @@
         if lookup is not None and lookup.is_same_flow(packet):
             lookup.last_packet_at = now
             lookup.hold(packet)
+            for companion in lookup.accepted_by.values():
+                self._probes.send_directly(packet, companion)
             return
         route = self._directory.route(packet.receiver)
         if route is None:
@@ -109,8 +111,9 @@
             return
         now = self._clock.monotonic()
         self._reply_time.record(now - query.sent_at)
+        is_unsure = not set(reply.unsure).issubset(reply.accepted)
         query.companion.unsure_until = (
-            now + UNSURE_RETENTION if reply.unsure else timedelta()
+            now + UNSURE_RETENTION if is_unsure else timedelta()
         )
         for index, flow in enumerate(query.flows):
             lookup = self._pending.get(flow)
@@ -122,6 +125,8 @@
             elif index in reply.unsure:
                 if index in reply.served:
                     self._record_service(lookup, query.companion)
+                if index in reply.accepted:
+                    lookup.accepted_by[sender] = query.companion
                 self._probe_server(lookup, query.companion, query.identity)
             else:
                 self._record_denial(lookup, query.identity)
@@ -156,6 +161,7 @@
         """Record that the backend server at an address returned a probe packet."""
         lookup = self._pending.get(flow)
         if lookup is not None and (identity := lookup.probed.pop(sender, None)):
+            lookup.accepted_by.pop(sender, None)
             self._record_denial(lookup, identity)
 
     def _start(self, packet: Packet, services: frozenset[str], now: timedelta) -> None:
@@ -297,7 +303,7 @@
         if not self._may_probe(lookup, companion):
             return
         lookup.probed[companion.fleet_address] = identity
-        if lookup.full_rounds > 1:
+        if lookup.full_rounds > 1 or companion.fleet_address in lookup.accepted_by:
             self._probes.send_directly(lookup.first_packet, companion)
         else:
             self._probes.add(lookup.first_packet, companion)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
@@ -4,7 +4,8 @@
 from typing import Final
 
 MILLISECOND: Final = timedelta(milliseconds=1)
-# Callers stop retransmitting an opening packet after 1.4 s.
+# Callers stop retransmitting an opening packet after 1.4 s. A server that discards a
+# flow sooner after accepting it has probably started again.
 OPENING_TIMEOUT: Final = timedelta(milliseconds=1_500)
 # Packets between zones take 3 ms each way. Callers send their request with the last
 # packet of the handshake, or retransmit a lost one after 200 ms.
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -11,7 +11,7 @@
 from pomelotrail_core.offers import Offer, OfferReply, Outcome, Pong, encode
 
 from .cold_budget import ColdBudget
-from .const import RESTART_READ_DELAY, SERVER_ACCEPT_TIMEOUT
+from .const import OPENING_TIMEOUT, RESTART_READ_DELAY, SERVER_ACCEPT_TIMEOUT
 from .outage_tracker import OutageTracker
 from .request_gate import RequestGate
 from .server_flows import RouteSettings, ServerFlow, ServerFlows
@@ -91,7 +91,10 @@
         self._counters.add("openings_returned")
         if entry is None or entry.is_open:
             return
-        self._flows.remove(entry.flow)
+        # The server accepted the flow and returned a copy of its opening packet: the
+        # caller's next packet shows whether the server still has it.
+        if entry.initial_sequence is None:
+            self._flows.remove(entry.flow)
         self._correct_offer_reply(entry, Outcome.REFUSED_BY_SERVER)
 
     def record_possible_restart(self) -> None:
@@ -109,7 +112,7 @@
         """Return the outcome of an offer."""
         if offer.service != self._service:
             return Outcome.OTHER_SERVICE
-        if self._flows.get(packet.caller_flow) is not None:
+        if self._find_flow(packet) is not None:
             return Outcome.ACCEPTED
         if self._flows.load(now) >= offer.limit:
             return Outcome.BUSY
@@ -124,11 +127,12 @@
         self, offer: Offer, packet: Packet, balancer: Address, now: timedelta
     ) -> None:
         """Send an opening packet to the server, or again if it lost the first one."""
-        entry = self._flows.get(packet.caller_flow)
+        entry = self._find_flow(packet)
         if entry is not None and entry.is_open:
             return
         if entry is None:
             entry = self._flows.open(packet.caller_flow, balancer, offer.number, now)
+            entry.opening_sequence = packet.sequence
         entry.balancer, entry.offer_number = balancer, offer.number
         target = timedelta(milliseconds=offer.target_ms)
         self._flows.set_route_settings(
@@ -140,6 +144,19 @@
         )
         self._send_to_server(self._codec.without_label(packet), self._backend_server)
 
+    def _find_flow(self, packet: Packet) -> ServerFlow | None:
+        """Return the flow whose opening packet this is, if it was accepted before.
+
+        An opening that its caller no longer retransmits makes way for another flow of
+        the same port.
+        """
+        entry = self._flows.get(packet.caller_flow)
+        if entry is None or entry.is_open:
+            return entry
+        age = self._clock.monotonic() - entry.opened
+        is_copy = entry.opening_sequence in (None, packet.sequence)
+        return entry if is_copy or age < OPENING_TIMEOUT else None
+
     def _report_accept_timeout(self, entry: ServerFlow) -> None:
         """Report to the balancer that the backend server has not accepted a flow."""
         is_pending = self._flows.get(entry.flow) is entry
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
@@ -10,7 +10,14 @@
 from pomelotrail_core.datagram_callback import Address, SendDatagram
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import Mark, Packet, PacketCodec
-from pomelotrail_core.offers import Lookup, LookupMiss, LookupReply, Owner, encode
+from pomelotrail_core.offers import (
+    Lookup,
+    LookupMiss,
+    LookupReply,
+    Owner,
+    ShortLookupReply,
+    encode,
+)
 
 from .const import MIN_RESTART_TIME, PROBE_INTERVAL, SWEEP_INTERVAL
 from .outage_tracker import OutageTracker
@@ -94,21 +101,29 @@
         owned = []
         unsure = []
         served = []
+        accepted = []
         for index, flow in enumerate(lookup.flows):
             entry = self._flows.get(flow)
             if entry is not None and entry.is_open:
                 owned.append(index)
             elif is_own and (entry is not None or not self._has_all_flows()):
                 unsure.append(index)
+                if entry is not None and entry.initial_sequence is not None:
+                    accepted.append(index)
                 if self._flows.has_address_of(flow):
                     served.append(index)
-        reply = LookupReply(
+        fields = (
             lookup.number,
             tuple(owned),
             tuple(unsure),
             self.outages.missing_entry_grace_ms,
             tuple(served),
         )
+        reply = (
+            LookupReply(*fields, tuple(accepted))
+            if accepted
+            else ShortLookupReply(*fields)
+        )
         self._send_message(encode(reply), balancer)
 
     def handle_unknown_flow(self, packet: Packet, balancer: Address) -> None:
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_flows.py
@@ -29,11 +29,13 @@
 class ServerFlow(msgspec.Struct, eq=False):
     """A flow of the backend server.
 
+    ``opening_sequence`` is the sequence number of the opening packet, if known.
     ``initial_sequence`` is the backend server's initial sequence number, once it has
-    accepted the flow. ``next_sequence`` is close to the next byte that the caller
-    expects. ``idle_before`` is the time between the last two packets of the caller or
-    the server. ``requested`` is set while a request is expected or in progress, and
-    ``started`` once it was forwarded to the backend server.
+    accepted the flow; ``is_open`` is set once the caller has acknowledged it, and
+    ``is_confirmed`` once the server has sent anything else. ``next_sequence`` is close
+    to the next byte that the caller expects. ``idle_before`` is the time between the
+    last two packets of the caller or the server. ``requested`` is set while a request
+    is expected or in progress, and ``started`` once it was forwarded to the server.
     """
 
     flow: bytes
@@ -43,12 +45,14 @@
     opened: timedelta = timedelta()
     offer_number: int = 0
     started: timedelta | None = None
+    opening_sequence: int | None = None
     initial_sequence: int | None = None
     caller_end: int | None = None
     acknowledged: int | None = None
     next_sequence: int = 0
     idle_before: timedelta = timedelta()
     is_open: bool = False
+    is_confirmed: bool = False
     is_closed: bool = False
 
 
@@ -92,6 +96,7 @@
         self._flows: dict[bytes, ServerFlow] = {}
         self._flows_of_address: Counter[bytes] = Counter()
         self._openings: deque[ServerFlow] = deque()
+        self._unused: dict[bytes, ServerFlow] = {}
         self._in_progress = 0
         self._running: dict[bytes, ServerFlow] = {}
         self._unanswered: deque[timedelta] = deque()
@@ -99,8 +104,8 @@
         self._evicted_until = timedelta()
 
     def __len__(self) -> int:
-        """Return the number of flows."""
-        return len(self._flows)
+        """Return the number of flows, without openings that callers don't use."""
+        return len(self._flows) - len(self._unused)
 
     @property
     def occupancy(self) -> int:
@@ -171,6 +176,25 @@
         self._openings.append(entry)
         return entry
 
+    def accept(self, flow: bytes, sequence: int, now: timedelta) -> ServerFlow:
+        """Record the initial sequence number of a server that has accepted a flow.
+
+        Handles this load pattern: a server is so slow that the opening was dropped
+        before it accepts the flow. The caller may nevertheless use it.
+        """
+        entry = self._flows.get(flow)
+        if entry is None:
+            entry = ServerFlow(flow, now, None, ("", 0), now)
+            self._add(entry, now)
+            self._unused[flow] = entry
+        entry.initial_sequence = sequence
+        return entry
+
+    def record_use(self, entry: ServerFlow) -> None:
+        """Record that the caller has acknowledged the server's acceptance."""
+        entry.is_open = True
+        self._unused.pop(entry.flow, None)
+
     def drop_unused_openings(self, now: timedelta) -> None:
         """Stop counting flows whose first request is overdue.
 
@@ -183,11 +207,13 @@
             entry = openings.popleft()
             if entry.caller_end is None:
                 self._end_request(entry)
+                if not entry.is_open and self._flows.get(entry.flow) is entry:
+                    self._unused[entry.flow] = entry
 
     def learn(self, flow: bytes, now: timedelta) -> ServerFlow:
         """Add an open flow that an earlier process of this companion accepted."""
         self.remove(flow)
-        entry = ServerFlow(flow, now, None, ("", 0), is_open=True)
+        entry = ServerFlow(flow, now, None, ("", 0), is_open=True, is_confirmed=True)
         self._add(entry, now)
         return entry
 
@@ -196,6 +222,7 @@
         entry = self._flows.pop(flow, None)
         if entry is None:
             return
+        self._unused.pop(flow, None)
         self._end_request(entry)
         address = flow[PACKED_ENDPOINT_BYTES:]
         self._flows_of_address[address] -= 1
@@ -271,17 +298,21 @@
 
         An open flow is kept for the longest duration of flows. The idle time after
         which its server discards it is changed by operators while the flow is idle.
+        A flow that the server has accepted may be open for its caller.
         """
         if entry.is_closed:
             return CLOSED_LINGER
-        if not entry.is_open:
+        if not entry.is_open and entry.initial_sequence is None:
             return OPENING_TIMEOUT
         return self._max_flow_duration
 
     def _add(self, entry: ServerFlow, now: timedelta) -> None:
-        """Add a flow and evict the oldest one if there are too many."""
+        """Add a flow and evict the oldest one if there are too many.
+
+        Openings that callers don't use are evicted first.
+        """
         if len(self._flows) >= MAX_FLOWS:
-            oldest = next(iter(self._flows.values()))
+            oldest = next(iter((self._unused or self._flows).values()))
             if not oldest.is_closed:
                 self._evicted_until = now + self._max_flow_duration
             self.remove(oldest.flow)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -23,7 +23,12 @@
 )
 
 from .addresses import ServerProxyAddresses
-from .const import LOST_FLOW_MAX_IDLE, MILLISECOND, SWEEP_INTERVAL
+from .const import (
+    LOST_FLOW_MAX_IDLE,
+    MILLISECOND,
+    OPENING_TIMEOUT,
+    SWEEP_INTERVAL,
+)
 from .flow_admission import FlowAdmission
 from .ownership import Ownership
 from .reachability import async_is_server_gone
@@ -216,7 +221,7 @@
         now = self._clock.monotonic()
         entry.idle_before = now - entry.last_used
         entry.last_used = now
-        entry.is_open = True
+        self._flows.record_use(entry)
         entry.next_sequence = packet.acknowledged
         if packet.size:
             self._flows.record_caller_data(entry, packet.sequence, packet.size, now)
@@ -261,11 +266,20 @@
         elif entry is not None and entry.is_open and not entry.is_closed:
             entry.next_sequence = packet.acknowledged
             self._reset(entry, "server_lost_flow")
-            if entry.idle_before < LOST_FLOW_MAX_IDLE:
+            if self._shows_restart(entry):
                 self._admission.record_possible_restart()
         else:
             self._ownership.handle_returned_probe(packet)
 
+    def _shows_restart(self, entry: ServerFlow) -> bool:
+        """Return whether a server that lost a flow has probably started again.
+
+        It may have discarded the flow because its caller sent nothing.
+        """
+        if entry.is_confirmed:
+            return entry.idle_before < LOST_FLOW_MAX_IDLE
+        return self._clock.monotonic() - entry.opened < OPENING_TIMEOUT
+
     def _reset(self, entry: ServerFlow, reason: str) -> None:
         """Reset a flow that the backend server no longer has."""
         self._flows.remove(entry.flow)
@@ -282,22 +296,21 @@
         flow = packet.server_flow
         entry = self._flows.get(flow)
         if packet.accepts:
-            if entry is not None:
-                entry.initial_sequence = packet.sequence
+            entry = self._flows.accept(flow, packet.sequence, now)
         elif entry is None or (not entry.is_open and self._ownership.is_probing(flow)):
             entry = self._learn(flow, now)
-        if entry is not None:
-            entry.last_used = now
-            entry.acknowledged = packet.acknowledged
-            entry.next_sequence = (packet.sequence + packet.size) % SEQUENCE_RANGE
-            if packet.size:
-                self._record_server_time(self._gate.record_response(entry, now))
-            if packet.resets:
-                self._log_unanswered("reset_by_server", entry)
-                self._flows.record_unanswered(entry, now)
-            if packet.resets or packet.finishes:
-                self._close_flow(entry)
-            self._release_requests(now)
+        entry.is_confirmed = entry.is_confirmed or not packet.accepts
+        entry.last_used = now
+        entry.acknowledged = packet.acknowledged
+        entry.next_sequence = (packet.sequence + packet.size) % SEQUENCE_RANGE
+        if packet.size:
+            self._record_server_time(self._gate.record_response(entry, now))
+        if packet.resets:
+            self._log_unanswered("reset_by_server", entry)
+            self._flows.record_unanswered(entry, now)
+        if packet.resets or packet.finishes:
+            self._close_flow(entry)
+        self._release_requests(now)
         host, _ = unpack_address(packet.receiver)
         self._send_packet(packet.data, (host, self._addresses.callers_port))
         self._counters.add("packets_answered")
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/tests/test_server_flows.py
@@ -150,6 +150,31 @@
         self.assertTrue(self.flows.may_lack_open_flows(end - _SECOND))
         self.assertFalse(self.flows.may_lack_open_flows(end))
 
+    def test_opening_that_the_server_accepted(self) -> None:
+        """It is kept for as long as flows may last; without an answer it is dropped."""
+        accepted, unanswered = (
+            self.flows.open(flow, ("192.0.2.1", 1), 1, _NOW)
+            for flow in (b"accepted", b"unanswered")
+        )
+        self.flows.accept(b"accepted", 7, _NOW)
+        end = _NOW + _MAX_FLOW_DURATION
+        self.flows.drop_unused_openings(_NOW + FIRST_REQUEST_TIMEOUT)
+        self.flows.sweep(end - _SECOND)
+        self.assertIs(self.flows.get(accepted.flow), accepted)
+        self.assertIsNone(self.flows.get(unanswered.flow))
+        self.assertEqual(len(self.flows), 1)
+        self.assertEqual(self.flows.sweep(end).expired, [self.entry])
+        self.assertIsNone(self.flows.get(accepted.flow))
+
+    def test_unused_opening_is_evicted_first(self) -> None:
+        """Openings that no caller uses don't displace open flows."""
+        for number in range(MAX_FLOWS):
+            self.flows.accept(b"%d" % number, 7, _NOW)
+        self.assertIsNotNone(self.flows.get(b"flow"))
+        self.assertIsNone(self.flows.get(b"0"))
+        self.assertTrue(self.flows.may_lack_open_flows(_NOW))
+        self.assertEqual(len(self.flows), 1)
+
     def test_missing_response(self) -> None:
         """The slot of the request is free again after the timeout."""
         self.flows.record_caller_data(self.entry, 100, 50, _NOW)
--- a/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
@@ -15,6 +15,7 @@
     Pong,
     Probe,
     ProbeRequest,
+    ShortLookupReply,
 )
 
 __all__ = [
@@ -32,6 +33,7 @@
     "Pong",
     "Probe",
     "ProbeRequest",
+    "ShortLookupReply",
     "decode",
     "encode",
     "service_label",
--- a/packages/pomelotrail-core/pomelotrail_core/offers/codec.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/codec.py
@@ -4,13 +4,13 @@
 
 import msgspec
 
-from .messages import FleetMessage
+from .messages import FleetMessage, ShortLookupReply
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(FleetMessage)
 
 
-def encode(message: FleetMessage) -> bytes:
+def encode(message: FleetMessage | ShortLookupReply) -> bytes:
     """Return a message encoded as a datagram."""
     return _encoder.encode(message)
 
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -101,15 +101,10 @@
     era: _Era = 0
 
 
-class LookupReply(_Message, tag=8):
-    """Reply to a lookup; flows are identified by their index in the lookup.
+class ShortLookupReply(_Message, tag=8):
+    """Reply to a lookup without openings, read as ``LookupReply``.
 
-    The sender's backend server owns the ``owned`` flows and may own the ``unsure``
-    ones: the sender started after these flows may have been opened, so only the server
-    can determine it, when it receives a packet. The server certainly owns none of the
-    others. It has other flows of the addresses of ``served``, which are among the
-    unsure ones. ``unsettled_ms`` is the value that balancers sent to the sender, minus
-    the time since then.
+    It is a byte shorter: after a power loss, balancers get thousands of replies.
     """
 
     number: int
@@ -119,6 +114,21 @@
     served: tuple[int, ...] = ()
 
 
+class LookupReply(ShortLookupReply, tag=8):
+    """Reply to a lookup; flows are identified by their index in the lookup.
+
+    The sender's backend server owns the ``owned`` flows and may own the ``unsure``
+    ones: the sender started after these flows may have been opened, so only the server
+    can determine it, when it receives a packet. The server certainly owns none of the
+    others. Of the unsure ones, the sender has flows of the addresses of ``served``, and
+    its server has accepted the opening of ``accepted``: only the caller's packet shows
+    whether it acknowledges this server's acceptance. ``unsettled_ms`` is the value that
+    balancers sent to the sender, minus the time since then.
+    """
+
+    accepted: tuple[int, ...] = ()
+
+
 class LookupMiss(_Message, tag=4):
     """Notification that the sender's backend server doesn't own the flow of a packet.
 
