--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
@@ -10,7 +10,14 @@
 from pomelotrail_core.datagram_callback import Address, SendDatagram
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import Mark, Packet, PacketCodec
-from pomelotrail_core.offers import Lookup, LookupMiss, LookupReply, Owner, encode
+from pomelotrail_core.offers import (
+    Lookup,
+    LookupMiss,
+    LookupReply,
+    Owner,
+    ShortLookupReply,
+    encode,
+)
 
 from .const import MIN_RESTART_TIME, PROBE_INTERVAL, SWEEP_INTERVAL
 from .outage_tracker import OutageTracker
@@ -94,25 +101,36 @@
         owned = []
         unsure = []
         served = []
+        accepted = []
         for index, flow in enumerate(lookup.flows):
             entry = self._flows.get(flow)
             if entry is not None and entry.is_open:
                 owned.append(index)
             elif is_own and (entry is not None or not self._has_all_flows()):
                 unsure.append(index)
+                if entry is not None and entry.initial_sequence is not None:
+                    accepted.append(index)
                 if self._flows.has_address_of(flow):
                     served.append(index)
-        reply = LookupReply(
+        fields = (
             lookup.number,
             tuple(owned),
             tuple(unsure),
             self.outages.missing_entry_grace_ms,
             tuple(served),
         )
+        reply = (
+            LookupReply(*fields, tuple(accepted))
+            if accepted
+            else ShortLookupReply(*fields)
+        )
         self._send_message(encode(reply), balancer)
 
     def handle_unknown_flow(self, packet: Packet, balancer: Address) -> None:
-        """Probe the backend server for a flow, or deny ownership."""
+        """Probe the backend server for a flow that isn't tracked, or deny ownership.
+
+        Another flow between the same addresses may be tracked.
+        """
         if self._has_all_flows():
             self.deny(packet, packet.mark, balancer)
             return
@@ -125,6 +143,10 @@
         self._forward(packet)
         self._counters.add("probes")
 
+    def is_probing(self, flow: bytes) -> bool:
+        """Return whether the server's reply to a probe of a flow is awaited."""
+        return flow in self._probes
+
     def handle_returned_probe(self, packet: Packet) -> None:
         """Deny ownership of a flow whose probe the backend server returned."""
         probe = self._probes.pop(packet.caller_flow, None)
--- a/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
@@ -19,6 +19,7 @@
     Pong,
     Probe,
     ProbeRequest,
+    ShortLookupReply,
 )
 
 __all__ = [
@@ -37,6 +38,7 @@
     "Pong",
     "Probe",
     "ProbeRequest",
+    "ShortLookupReply",
     "decode",
     "encode",
     "service_label",
