Soak: a repeated stop signal leaves the exit code to the watcher

The 255 is asyncio's: Popen.send_signal polls, so the second stop signal of a repeated one collected the exit code of the process that had just ended, and the watcher's thread, which came late, found no child and reported 255. The warning about it isn't shown, since the test runner disables logging.

Change: the soak looks whether the process has ended without collecting its code, and then sends the signal itself.

Measured: test_exit_code_is_left_to_the_watcher failed without the change (ChildProcessError: the code was taken) and passes with it.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -161,6 +161,20 @@
             self.send_to_running(signal.SIGKILL)
             await self._watch
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, and leave the end of the process to its watcher.
+
+        asyncio's way collects the exit code of a process that has just ended; the
+        watcher, which then finds none, reports 255.
+        """
+        options = os.WEXITED | os.WNOHANG | os.WNOWAIT
+        try:
+            if os.waitid(os.P_PID, self.pid, options) is None:
+                os.kill(self.pid, number)
+        except (ChildProcessError, ProcessLookupError):
+            # The watcher has collected the exit code.
+            return
+
     def send_to_running(self, number: signal.Signals) -> None:
         """Send a signal, unless the process has ended."""
         if self.is_running and (number is not signal.SIGHUP or self.has_begun):
--- a/soak/tests/test_processes.py
+++ b/soak/tests/test_processes.py
@@ -2,13 +2,16 @@
 
 import os
 import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from soak.fleet import SoakFleet
 from soak.log_pipe import LogPipe
-from soak.processes import ProcessEnd
+from soak.processes import ProcessEnd, SoakProcess
 from stand_ins.platform_fleet import async_wait_until
 
 _PROCESSES = 6
@@ -42,6 +45,27 @@
         self.assertNotEqual(ProcessEnd(-15, signal.SIGTERM, True, "").problem, "")
 
 
+class SignalTest(unittest.TestCase):
+    """Signals to processes."""
+
+    def test_exit_code_is_left_to_the_watcher(self) -> None:
+        """A stop signal that comes again after the end doesn't take the exit code."""
+        child = subprocess.Popen([sys.executable, "-S", "-c", ""])
+        os.waitid(os.P_PID, child.pid, os.WEXITED | os.WNOWAIT)
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(SoakProcess, "is_running", True),
+        ):
+            process = SoakProcess(
+                "companion", "side-0", "", Path(folder), "", Path(), lambda *_: None
+            )
+            self.addCleanup(process.pipe.close)
+            with mock.patch.object(process, "_process", child):
+                process.send_to_running(signal.SIGTERM)
+        self.assertEqual(os.waitpid(child.pid, 0), (child.pid, 0))
+        child.returncode = 0
+
+
 class UnaskedEndTest(unittest.IsolatedAsyncioTestCase):
     """A process that ends although nobody told it to."""
 
