Soak: bursts of callers beside routes of different priority

Cause: the soak's servers have four slots and its callers never press, so nothing of the admission by the expected wait ran beside faults.

A schedule with it gets a fleet whose servers have one slot and whose routes differ in priority. In calm, a new flow and its request must be served on each route; a request sent on a refused flow must never run. The set "load" draws from the faults of the platform and bursts; the default leaves bursts out, so seeds keep their schedules.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -28,6 +28,7 @@
         self._checked_opening_packets: Counter[int] = Counter()
         self._execution_counts: Counter[bytes] = Counter()
         self._checked_executions: Counter[int] = Counter()
+        self._refused_requests: set[bytes] = set()
         self.violations: list[str] = []
         self.result_counts: Counter[str] = Counter()
         self.opened_flows = 0
@@ -52,6 +53,17 @@
         if must_open:
             self._record_violation("flow not opened after recovery")
 
+    def check_served(self, port: int, result: RequestResult | None) -> None:
+        """Check that a request on a new flow was answered."""
+        if result is not RequestResult.ANSWERED:
+            outcome = "not opened" if result is None else result.value
+            self._record_violation(f"request of port {port} in calm: {outcome}")
+
+    def check_refused_flow(self, request: bytes) -> None:
+        """Check from now on that the request of a refused flow never runs."""
+        self.result_counts["refused"] += 1
+        self._refused_requests.add(request)
+
     def check_servers(self) -> None:
         """Check what backend servers received since the last check."""
         for vm in self._fleet.backend_vms:
@@ -97,6 +109,8 @@
             self._execution_counts[content] += 1
             if self._execution_counts[content] > 1:
                 self._record_violation(f"request ran twice: {content.decode()}")
+            if content in self._refused_requests:
+                self._record_violation(f"refused request ran: {content.decode()}")
         self._checked_executions[vm.index] = len(executed)
 
     def _check_service(self, vm: BackendVM, port: int) -> None:
--- a/soak/const.py
+++ b/soak/const.py
@@ -20,9 +20,15 @@
 COLD_FLOWS_PER_S: Final = 6.0
 
 SLOTS_PER_SERVER: Final = 4
+# Priorities of the routes to one service each, and of the moving route: in a fleet
+# with bursts these differ, and servers have one slot.
+URGENT_PRIORITY: Final = 0
+ORDINARY_PRIORITY: Final = 1
 # Backend servers that don't register before a `server add` fault.
 SPARE_SERVERS: Final = 2
 REQUEST_DURATION_S: Final = 0.02
+# Longer, so that a burst that the soak process can relay is too much for the servers.
+BURST_REQUEST_DURATION_S: Final = 0.05
 ZONES: Final = ("zone-1", "zone-2", "zone-3")
 SERVICES: Final = ("ledger", "desk")
 SERVICE_ADDRESS: Final = "198.51.100.1"
@@ -30,6 +36,8 @@
 # Port of the route whose service changes with each configuration.
 MOVING_PORT: Final = 7443
 CALLERS_PER_SERVICE: Final = 6
+# A single server of one slot can carry the callers of two routes.
+CALLERS_BESIDE_BURSTS: Final = 2
 
 # A process that got SIGTERM must have ended by then, with the time it may be
 # suspended; the platform allows 6 s.
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -63,6 +63,8 @@
 class SoakCaller(StandInCaller):
     """Detects answers to other requests than its own."""
 
+    _is_open = False
+
     @property
     def flow(self) -> bytes:
         """Return the key of the flow."""
@@ -73,6 +75,25 @@
         """Return the sequence number that the caller expects next."""
         return self._expected
 
+    @property
+    def was_refused(self) -> bool:
+        """Return whether the opening was answered by a reset."""
+        return self._expected > 0 and not self._is_open
+
+    async def async_open(self) -> bool:
+        """Open the flow; return False if it was reset or not answered."""
+        self._is_open = await super().async_open()
+        return self._is_open
+
+    def send_late(self, request: bytes) -> None:
+        """Send a request on a refused flow, which must not run."""
+        self._send_packet(
+            make_packet(
+                self.packed_address, self._service, self._sequence, self._expected
+            ),
+            request,
+        )
+
     async def async_send_until_answered(self, request: bytes) -> RequestResult:
         """Send a request, with retransmissions, and return its result."""
         for timeout in RETRY_TIMEOUTS_S:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
+from .bursts import BurstCallers
+from .checks import InvariantChecker
 from .const import REWRITE_BOUND_S
 from .fleet import SoakFleet
 from .links import Impairment
@@ -24,9 +26,10 @@
 class FaultInjector:
     """Injects faults, which may overlap, and ends each after its duration."""
 
-    def __init__(self, fleet: SoakFleet) -> None:
-        """Initialize with the fleet."""
+    def __init__(self, fleet: SoakFleet, checker: InvariantChecker) -> None:
+        """Initialize with the fleet, and what checks the callers of bursts."""
         self._fleet = fleet
+        self._burst_callers = BurstCallers(fleet, checker)
         self._machine_handlers = MachineFaults(fleet).handlers
         self._tasks: set[asyncio.Task] = set()
         self.disturbed_until = 0.0
@@ -65,6 +68,7 @@
             FaultKind.STORE_RESTORED: self._async_store_restored,
             FaultKind.ROLL_ALL: self._async_roll_all,
             FaultKind.FOREIGN_ENTRY: self._async_foreign_entry,
+            FaultKind.BURST: self._burst_callers.async_press,
         }
         handler = handlers.get(fault.kind)
         machine_handler = self._machine_handlers.get(fault.kind)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,16 +16,19 @@
 from stand_ins.platform_store import PlatformStore, PublishedRoute, Publisher
 
 from .const import (
+    BURST_REQUEST_DURATION_S,
     COLD_DURATION_S,
     COLD_FLOWS_PER_S,
     END_RESTART_DELAY_S,
     MOVING_PORT,
+    ORDINARY_PRIORITY,
     PORTS,
     REQUEST_DURATION_S,
     SERVICE_ADDRESS,
     SERVICES,
     SLOTS_PER_SERVER,
     SPARE_SERVERS,
+    URGENT_PRIORITY,
 )
 from .endpoints import SoakCaller, SoakServer
 from .links import CompanionLink, StoreLink
@@ -49,15 +52,19 @@
         processes: int,
         prelude: str,
         launcher: Path | None = None,
+        has_bursts: bool = False,
     ) -> None:
         """Initialize; a third of the processes are balancers, 16 at most.
 
-        The checkout runs unless the launcher of a build is given.
+        The checkout runs unless the launcher of a build is given. With bursts, servers
+        have one slot, and the moving route has a lower priority than the others.
         """
         self.random = random.Random(seed)
         self.store = PlatformStore()
         self.publisher = Publisher(self.store)
         self.version = 0
+        self.has_bursts = has_bursts
+        self._slots = 1 if has_bursts else SLOTS_PER_SERVER
         self.moving_route_service = SERVICES[0]
         self.zones_out: dict[str, float] = {}
         self.balancer_vms: list[BalancerVM] = []
@@ -145,13 +152,18 @@
     def publish(self) -> None:
         """Publish the next version of the configuration."""
         self.version += 1
+        priority = URGENT_PRIORITY if self.has_bursts else ORDINARY_PRIORITY
         routes = [
-            PublishedRoute(name, SERVICE_ADDRESS, PORTS[name], name)
+            PublishedRoute(name, SERVICE_ADDRESS, PORTS[name], name, priority)
             for name in SERVICES
         ]
         routes.append(
             PublishedRoute(
-                "moving", SERVICE_ADDRESS, MOVING_PORT, self.moving_route_service
+                "moving",
+                SERVICE_ADDRESS,
+                MOVING_PORT,
+                self.moving_route_service,
+                ORDINARY_PRIORITY,
             )
         )
         self.publisher.configuration(self.version, routes, COLD_FLOWS_PER_S)
@@ -332,7 +344,7 @@
             server_address,
             companion_address,
             service,
-            REQUEST_DURATION_S,
+            BURST_REQUEST_DURATION_S if self.has_bursts else REQUEST_DURATION_S,
         )
         self._servers.append(await asyncio.start_server(_close, *server_address))
         return_addresses = {
@@ -364,7 +376,7 @@
             vm.server.service,
             f"{vm.link_address}:{self.ports.server}",
             vm.zone,
-            SLOTS_PER_SERVER,
+            self._slots,
             vm.started_ms,
             cold_ms,
             vm.is_draining,
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,8 +6,10 @@
 
 import attrs
 
+from .bursts import BurstCallers
 from .checks import InvariantChecker
 from .const import (
+    CALLERS_BESIDE_BURSTS,
     CALLERS_PER_SERVICE,
     COLD_PROPAGATION_S,
     CONFIGURATION_BOUND_S,
@@ -23,7 +25,7 @@
 from .faults import FaultInjector
 from .fleet import SoakFleet
 from .process_checks import ProcessChecker
-from .schedule import Fault, get_other_service
+from .schedule import Fault, FaultKind, get_other_service
 from .vms import BackendVM
 
 _REQUEST_INTERVAL_S = 0.15
@@ -51,8 +53,8 @@
         """Initialize with a started fleet."""
         self._fleet = fleet
         self._faults = faults
-        self._injector = FaultInjector(fleet)
         self._checker = InvariantChecker(fleet)
+        self._injector = FaultInjector(fleet, self._checker)
         self._process_checker = ProcessChecker(fleet)
         self._is_finished = False
         self._must_serve = False
@@ -61,10 +63,13 @@
         """Inject all faults, then check the fleet without faults."""
         asyncio.get_running_loop().set_exception_handler(self._record_exception)
         ports = [*PORTS.values(), MOVING_PORT]
+        callers = (
+            CALLERS_BESIDE_BURSTS if self._fleet.has_bursts else CALLERS_PER_SERVICE
+        )
         tasks = [
             asyncio.create_task(self._async_run_caller(port, f"{port}-{index}"))
             for port in ports
-            for index in range(CALLERS_PER_SERVICE)
+            for index in range(callers)
         ]
         tasks.append(asyncio.create_task(self._async_check_periodically()))
         probes = self._process_checker.async_probe_regularly()
@@ -105,6 +110,8 @@
         self._must_serve = True
         await asyncio.sleep(_FULL_SERVICE_CHECK_S)
         self._checker.violations += await self._process_checker.async_check_services()
+        if fleet.has_bursts:
+            await BurstCallers(fleet, self._checker).async_check_served()
         self._must_serve = False
         cold = next(x for x in fleet.backend_vms if x.zone != zone and x is not drained)
         fleet.start_server(cold, is_cold=True)
@@ -185,7 +192,8 @@
     launcher: Path | None = None,
 ) -> SeedResult:
     """Run one seed, with logs in a folder."""
-    fleet = SoakFleet(folder, seed, processes, prelude, launcher)
+    has_bursts = any(each.kind is FaultKind.BURST for each in faults)
+    fleet = SoakFleet(folder, seed, processes, prelude, launcher, has_bursts)
     try:
         await fleet.async_start()
         return await SeedRun(fleet, faults).async_run(seed)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -53,14 +53,19 @@
     REPEATED_SIGNALS = "repeated signals"
     LARGE_ENTRIES = "large entries"
     FEW_DESCRIPTORS = "few descriptors"
+    BURST = "burst"
 
 
-_ALL_KINDS: Final = tuple(FaultKind)
+# Without the burst: it has a fleet of its own, and seeds keep their schedules.
+_ALL_KINDS: Final = tuple(x for x in FaultKind if x is not FaultKind.BURST)
 _FIRST_OF_MACHINE: Final = _ALL_KINDS.index(FaultKind.LOG_READER_GONE)
+# As many as make a quarter of the faults of the set bursts.
+_BURSTS: Final = (FaultKind.BURST,) * 8
 KINDS: Final = {
     "all": _ALL_KINDS,
     "platform": _ALL_KINDS[:_FIRST_OF_MACHINE],
     "machine": _ALL_KINDS[_FIRST_OF_MACHINE:],
+    "load": _ALL_KINDS[:_FIRST_OF_MACHINE] + _BURSTS,
 }
 
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -15,7 +15,10 @@
 _LINK_CUT_SECONDS = 6.0
 _MACHINE_SEED = 103
 _MACHINE_SECONDS = 5.0
+_LOAD_SEED = 710672
+_LOAD_SECONDS = 2.0
 _PROCESSES = 9
+_FIRST_OF_600019 = Fault(at=0.5, kind=FaultKind.LINK_DELAY, pick=0.548, for_s=0.752)
 _JOBS = 2
 
 
@@ -47,11 +50,19 @@
         self.assertEqual(times, sorted(times))
 
     def test_every_kind_is_drawn(self) -> None:
-        """The schedules of 20 seeds contain every kind."""
-        kinds = {
-            fault.kind for seed in range(20) for fault in draw_schedule(seed, 20.0)
-        }
-        self.assertEqual(kinds, set(FaultKind))
+        """The schedules of 20 seeds contain every kind of their set."""
+        for name, kinds in KINDS.items():
+            schedules = [draw_schedule(seed, 20.0, kinds) for seed in range(20)]
+            drawn = {fault.kind for schedule in schedules for fault in schedule}
+            with self.subTest(name):
+                self.assertEqual(drawn, set(kinds))
+        self.assertEqual({*KINDS["all"], *KINDS["load"]}, set(FaultKind))
+
+    def test_seeds_keep_their_schedules(self) -> None:
+        """KNOWN-RED.txt and the design page name seeds, drawn from all but bursts."""
+        fault = draw_schedule(600019, 8.0)[0]
+        self.assertEqual(fault, _FIRST_OF_600019)
+        self.assertEqual(set(FaultKind) - set(KINDS["all"]), {FaultKind.BURST})
 
     def test_summary(self) -> None:
         """Failed seeds are listed, and counts are summed."""
@@ -75,12 +86,15 @@
     """Runs with real processes."""
 
     def test_short_soak(self) -> None:
-        """Fixed seeds pass, one with faults of the platform, one of the machine."""
+        """Fixed seeds pass: faults of the platform, of the machine, and bursts."""
         platform_faults = draw_schedule(_SEED, _SECONDS, KINDS["platform"])
         machine_faults = draw_schedule(
             _MACHINE_SEED, _MACHINE_SECONDS, KINDS["machine"]
         )
-        self._assert_all_pass({_SEED: platform_faults, _MACHINE_SEED: machine_faults})
+        load_faults = draw_schedule(_LOAD_SEED, _LOAD_SECONDS, KINDS["load"])
+        self.assertIn(FaultKind.BURST, {each.kind for each in load_faults})
+        schedules = {_SEED: platform_faults, _MACHINE_SEED: machine_faults}
+        self._assert_all_pass(schedules | {_LOAD_SEED: load_faults})
 
     def test_recorded_schedules(self) -> None:
         """Schedules of earlier failures pass."""
--- a/stand_ins/platform_store/publisher.py
+++ b/stand_ins/platform_store/publisher.py
@@ -19,6 +19,7 @@
     host: str
     port: int
     service: str
+    priority: int = 1
 
 
 class Publisher:
@@ -83,5 +84,5 @@
     return {
         **{"name": route.name, "host": route.host, "prefix": f"/{route.port}/"},
         **{"kind": "idempotent", "timeout_ms": 4000, "target_latency_ms": 250},
-        **{"priority": 1, "service": route.service},
+        **{"priority": route.priority, "service": route.service},
     }
