--- a/soak/broken.py
+++ b/soak/broken.py
@@ -97,6 +97,23 @@
     Role.handle_signals = handle_signals_and_stop
 
 
+def _keep_declining() -> None:
+    """Decline all further flows by the expected wait once one was declined."""
+    from pomelotrail_companion.opening_wait import AdmissionByWait
+
+    decide = AdmissionByWait.decide
+    declined = []
+
+    def decide_or_decline(self: Any, flow: Any, backlog: Any) -> Any:
+        """Return the first decision to decline a flow, if there was any."""
+        decision = decide(self, flow, backlog)
+        if not decision.is_accepted:
+            declined.append(decision)
+        return declined[0] if declined else decision
+
+    AdmissionByWait.decide = decide_or_decline
+
+
 VARIANTS: Final[dict[str, Callable[[], None]]] = {
     "ignore-drain": _ignore_drain,
     "ignore-zones": _ignore_zones,
@@ -105,6 +122,7 @@
     "reset-on-suspicion": _reset_on_suspicion,
     "forget-owners": _forget_owners,
     "end-unasked": _end_unasked,
+    "keep-declining": _keep_declining,
 }
 
 
