--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/test_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/tests/test_admission.py
@@ -121,8 +121,9 @@
 
     def test_long_queue_of_short_requests(self) -> None:
         """The number of waiting requests is bounded, however short they are."""
+        work = timedelta(microseconds=1)
         backlogged = msgspec.structs.replace(
-            backlog(*queued(MAX_QUEUED_PER_SLOT - 1)), work=timedelta(microseconds=1)
+            backlog(*queued(MAX_QUEUED_PER_SLOT - 1)), work=work, work_upper_bound=work
         )
         self.assertTrue(self.decide(flow(), backlogged).is_accepted)
         longer = msgspec.structs.replace(
