Cold budget: an opening that its server hasn't answered counts again

Cause: a retransmitted opening of a flow that the companion had accepted was accepted again before any check, and sent to the server again. After a server has crashed and come back cold, the openings that it lost come back together.

Change: only an opening that the server has answered is accepted without a check; another one keeps its place in the queue, but the cold budget decides. If it declines, the balancer offers the flow to others.

Check: test_repeated_openings_of_a_server_that_may_be_cold failed before: 20 openings where 14 are allowed.

--- a/harness/tests/test_flow_admission.py
+++ b/harness/tests/test_flow_admission.py
@@ -139,6 +139,28 @@
 
         self.assertLessEqual(run_in_virtual_time(async_run()), 6 * 1.5 + 5)
 
+    def test_repeated_openings_of_a_server_that_may_be_cold(self) -> None:
+        """Guards against openings that are sent to a cold server a second time."""
+
+        async def async_run() -> int:
+            """Let a server lose openings, and start again before they are repeated."""
+            fleet = FlowFleet(servers=1, slots=50, cold_flows_per_s=6.0)
+            (server,) = fleet.servers.values()
+            await asyncio.sleep(2)
+            server.answers_opening_packets = False
+            callers = [fleet.caller() for _ in range(20)]
+            opening = [asyncio.create_task(each.async_open()) for each in callers]
+            await asyncio.sleep(0.15)
+            server.answers_opening_packets = True
+            started = len(server.opening_times)
+            await asyncio.sleep(0.9)
+            count = len(server.opening_times) - started
+            for task in opening:
+                task.cancel()
+            return count
+
+        self.assertLessEqual(run_in_virtual_time(async_run()), 6 * 1.5 + 5)
+
     def test_server_that_starts_again_at_another_address(self) -> None:
         """Its companion is asked there."""
 
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/flow_admission.py
@@ -158,13 +158,15 @@
         """Return the outcome of an offer."""
         if offer.service != self._service:
             return Outcome.OTHER_SERVICE
-        if self._find_flow(packet) is not None:
+        entry = self._find_flow(packet)
+        if entry is not None and (entry.is_open or entry.initial_sequence is not None):
             return Outcome.ACCEPTED
         if decision is not None and offer.max_wait_ms is not None:
             is_busy = not decision.is_accepted
         else:
             is_busy = self._flows.load(now) >= offer.limit
-        if is_busy:
+        # An opening that the server hasn't answered has its place already.
+        if is_busy and entry is None:
             return Outcome.BUSY
         cold_per_s = offer.cold_per_s
         if cold_per_s is None and now < self._may_be_cold_until:
