Revert: promises that leave room for the spread of processing times

Tried: the wait of an on-time flow plus the upper bound of the sum of the processing times ahead of it, since balancers offer where the time is underestimated.

--- a/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/admission.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/opening_wait/admission.py
@@ -1,6 +1,5 @@
 """Admission of new flows by the time that their first request would wait."""
 
-import math
 from collections.abc import Sequence
 from datetime import timedelta
 
@@ -55,7 +54,6 @@
             if not each.is_late and each.priority <= flow.priority
         ]
         wait_on_time = _wait(backlog, ahead) / _left(backlog.urgent_share)
-        wait_on_time += _spread(backlog, len(ahead))
         wait_late = _wait(backlog, queued)
         if not flow.is_repeated:
             wait_late /= _left(backlog.on_time_share)
@@ -75,16 +73,6 @@
     return (sum(remaining, timedelta()) + backlog.work * count) / slots
 
 
-def _spread(backlog: Backlog, count: int) -> timedelta:
-    """Return by how much the work of several requests may exceed the expected work.
-
-    Balancers offer flows where the reported wait is shortest, so where the processing
-    time is underestimated at the moment. That of one request is part of its slack.
-    """
-    spread = backlog.work_upper_bound - backlog.work
-    return spread * (math.sqrt(count + 1) - 1) / max(1, backlog.slots)
-
-
 def _left(share: float) -> float:
     """Return the share of the server's time that others leave."""
     return max(MIN_SHARE_LEFT, 1 - share)
