--- a/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/placement/shortest_wait.py
@@ -45,12 +45,12 @@
             )
             on_time = [(wait, each) for wait, each in waits if wait + each.work <= left]
             if on_time:
-                return self._choose(on_time, context, timedelta())
+                return self._choose_shortest(on_time, context, timedelta())
         max_wait = context.max_wait - context.age(now)
         if context.late_declines >= MAX_LATE_DECLINED or max_wait <= timedelta():
             return None
         waits = [(self._load(each, now) * each.work, each) for each in companions]
-        return self._choose(waits, context, max_wait)
+        return self._choose_shortest(waits, context, max_wait)
 
     def _wait_on_time(
         self, companion: CompanionView, context: PlacementContext, now: timedelta
@@ -67,7 +67,7 @@
         wait = companion.expected_wait(context.priority, now)
         return wait + extra * companion.work
 
-    def _choose(
+    def _choose_shortest(
         self,
         waits: Sequence[tuple[timedelta, CompanionView]],
         context: PlacementContext,
