Lookups: a dead flow is reset although companions of other services are unsure

What callers see: after a zone loses power, balancers elsewhere go on running. A flow whose server lost it isn't reset but stays silent until its caller's time budget ends, if a companion of another service has started in the last minute and can't tell which flows its server has.

Cause: the balancer waits for the denial of every companion. One of another service that is unsure gets no packet of the flow, so it never denies.

Change: once the balancer has read all versions since any open flow was opened, the flow can't be at a service that none of them named for its route, and an unsure reply from there counts as a denial. A companion that has flows of the address says so, and its server still decides. Balancers that lag behind open flows by an old version for a while, so versions count for 20 s longer.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -127,7 +127,7 @@
                     self._record_service(lookup, query.companion)
                 if index in reply.accepted:
                     lookup.accepted_by[sender] = query.companion
-                self._probe_server(lookup, query.companion, query.identity)
+                self._settle_unsure(lookup, query.companion, query.identity)
             else:
                 self._record_denial(lookup, query.identity)
 
@@ -287,6 +287,15 @@
         else:
             self._probe_server(lookup, companion, companion.server.identity)
 
+    def _settle_unsure(
+        self, lookup: FlowLookup, companion: CompanionView, identity: str
+    ) -> None:
+        """Let the server of an unsure companion decide, if it may own the flow."""
+        if self._may_probe(lookup, companion):
+            self._probe_server(lookup, companion, identity)
+        elif self._directory.knows_former_services:
+            self._record_denial(lookup, identity)
+
     def _record_denial(self, lookup: FlowLookup, identity: str) -> None:
         """Record a denial; continue the lookup after the last awaited reply."""
         lookup.denied.add(identity)
--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -15,6 +15,9 @@
 # Between two calls, and after a failed one, the source may begin a new era. The next
 # answer tells, even if there is nothing to report, so it must not take long.
 WATCH_WAIT_AFTER_PAUSE: Final = timedelta(seconds=1)
+# Balancers that don't reach the store open flows by an old version of the configuration
+# for up to this time: the longest that operators tolerate.
+MAX_CONFIGURATION_LAG: Final = timedelta(seconds=20)
 LIST_TIMEOUT: Final = timedelta(seconds=1)
 # Changes in quick succession are read by one call. The limits that operators set on
 # the time until a change is in force are 3 s or more.
--- a/packages/pomelotrail-core/pomelotrail_core/directory/former_services.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/former_services.py
@@ -4,6 +4,7 @@
 
 from pomelotrail_core.clock import Clock
 
+from .const import MAX_CONFIGURATION_LAG
 from .messages import PublishedConfiguration
 
 
@@ -61,8 +62,12 @@
             self._until.setdefault(address, {}).update(dict.fromkeys(left, until))
 
     def _last_use(self) -> timedelta:
-        """Return the time when flows that are open now have ended."""
-        return self._clock.monotonic() + self._max_flow_duration
+        """Return the time when flows of a version that is replaced now have ended.
+
+        Balancers that lag behind still open flows by it.
+        """
+        lifetime = MAX_CONFIGURATION_LAG + self._max_flow_duration
+        return self._clock.monotonic() + lifetime
 
     def _drop_expired(self) -> None:
         """Drop addresses without a service that may still have flows."""
