Lookups: unsure companions of other services aren't waited for

What callers see: after all processes were killed or lost power, a flow that no server has any more is reset 150 ms later than it could be.

Cause: companions of services that the route doesn't lead to reply that they are unsure, and get no packet before those of the route's services have denied the flow. The balancer nevertheless waited for them until its queries were repeated.

Change: an unsure reply of a companion whose server may not be probed yet counts as received. When nothing else is awaited, the lookup goes on, and is widened.

--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -8,7 +8,10 @@
 
 from harness.flow_fleet import FIRST_REVISION, SERVICE_ADDRESS, FlowFleet, later
 from harness.virtual_time import run_in_virtual_time
-from pomelotrail_balancer.flow_balancing.const import UNSURE_RETENTION
+from pomelotrail_balancer.flow_balancing.const import (
+    LOOKUP_RETRY_INTERVAL,
+    UNSURE_RETENTION,
+)
 from pomelotrail_core.datagram_callback import Address
 from pomelotrail_core.directory import (
     Directory,
@@ -217,6 +220,27 @@
 
         run_in_virtual_time(async_run())
 
+    def test_unsure_companions_of_another_service_are_not_waited_for(self) -> None:
+        """Their servers decide as soon as those of the route have denied the flow."""
+
+        async def async_run() -> float:
+            """Return the seconds until a flow is reset that all servers lost."""
+            fleet = FlowFleet(servers=12)
+            for host in list(fleet.servers)[:3]:
+                fleet.move_to_service(host, "certificate-desk")
+            fleet.directory().replace(fleet.listing(2))
+            caller = fleet.caller()
+            await caller.async_open_and_request(b"one")
+            fleet.restart_companions(with_servers=True)
+            fleet.start_balancer("192.0.2.200")
+            started = asyncio.get_running_loop().time()
+            self.assertIsNone(await caller.async_send_request(b"two", 2))
+            return asyncio.get_running_loop().time() - started
+
+        self.assertLess(
+            run_in_virtual_time(async_run()), LOOKUP_RETRY_INTERVAL.total_seconds()
+        )
+
     def test_companions_that_cannot_reach_each_other(self) -> None:
         """The balancer probes their servers itself when relayed probes fail."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -290,15 +290,24 @@
     def _settle_unsure(
         self, lookup: FlowLookup, companion: CompanionView, identity: str
     ) -> None:
-        """Let the server of an unsure companion decide, if it may own the flow."""
+        """Let the server of an unsure companion decide, if it may own the flow.
+
+        Those of other services may get a packet once all others have denied the flow.
+        """
         if self._may_probe(lookup, companion):
             self._probe_server(lookup, companion, identity)
         elif self._directory.knows_former_services:
             self._record_denial(lookup, identity)
+        else:
+            self._record_reply(lookup, identity)
 
     def _record_denial(self, lookup: FlowLookup, identity: str) -> None:
-        """Record a denial; continue the lookup after the last awaited reply."""
+        """Record that a server doesn't own a flow."""
         lookup.denied.add(identity)
+        self._record_reply(lookup, identity)
+
+    def _record_reply(self, lookup: FlowLookup, identity: str) -> None:
+        """Continue the lookup after the last awaited reply."""
         lookup.awaited.discard(identity)
         if not lookup.awaited and not lookup.is_checking:
             now = self._clock.monotonic()
