Ownership: the time of day is no evidence that a companion knows all flows

Cause: the companion took itself for the first process beside its server, because the start time in the server's entry was not 0.3 s before its own. Both are readings of the time of day, which may jump in between. It then denied flows that an earlier process had accepted; all others denied truly.

Change: start times aren't compared any more. A companion that hasn't run for as long as flows last lets its server decide, as after a kill. Its own steady clock and the server's answer don't depend on the time of day. Lookups say 0 for the server's start, which companions of earlier versions take for unknown, so these are safe beside new balancers.

--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookup_queries.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookup_queries.py
@@ -89,7 +89,6 @@
             service=server.service,
             flows=flows,
             unsettled_ms=self._directory.missing_entry_grace_remaining // MILLISECOND,
-            server_started_ms=server.started_ms,
             era=self._directory.revision.era,
         )
         self._send(encode(message), companion.fleet_address)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
@@ -36,9 +36,6 @@
 SERVER_CONNECT_TIMEOUT: Final = timedelta(milliseconds=200)
 # Both endpoints retransmit their last packets for up to 1.6 s.
 CLOSED_LINGER: Final = timedelta(seconds=4)
-# Minimum time from the start of one process to the start of the next, if the first
-# accepted a flow: loading takes at least 60 ms, and the platform delays restarts.
-MIN_RESTART_TIME: Final = timedelta(milliseconds=300)
 SWEEP_INTERVAL: Final = timedelta(seconds=1)
 # Minimum time between two probes of an unknown flow to the backend server.
 PROBE_INTERVAL: Final = timedelta(milliseconds=150)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
@@ -1,7 +1,7 @@
 """Flow ownership replies to balancers."""
 
 from collections.abc import Callable
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 
 import msgspec
 
@@ -19,7 +19,7 @@
     encode,
 )
 
-from .const import MIN_RESTART_TIME, PROBE_INTERVAL, SWEEP_INTERVAL
+from .const import PROBE_INTERVAL, SWEEP_INTERVAL
 from .outage_tracker import OutageTracker
 from .server_flows import ServerFlows
 
@@ -35,17 +35,16 @@
 class Ownership:
     """Report to balancers which flows the backend server owns.
 
-    Tracked flows are certain. For other flows, a process that started after its
-    backend server and less than the maximum flow duration ago lets the server decide:
-    it sends one packet, a *probe*, which the server either returns or handles as
-    part of the flow.
+    Tracked flows are certain. For other flows, a process that started less than the
+    maximum flow duration ago lets the server decide: it sends one packet, a *probe*,
+    which the server either returns or handles as part of the flow. The start times of
+    server and process aren't compared, since the time of day may jump in between.
     """
 
     def __init__(
         self,
         service: str,
         is_first_start: bool,
-        process_started: datetime,
         max_flow_duration: timedelta,
         flows: ServerFlows,
         codec: PacketCodec,
@@ -62,7 +61,6 @@
         self._codec = codec
         self._clock = clock
         self._log = log
-        self._process_started = process_started
         self._max_flow_duration = max_flow_duration
         self._counters = counters
         self._send_message = send_message
@@ -71,24 +69,6 @@
         self.outages = OutageTracker(clock)
         self._probes: dict[bytes, Probe] = {}
 
-    def record_server_start(self, started_ms: int) -> None:
-        """Record the start time of the backend server, by the clock of the same VM.
-
-        This process accepted all flows of the server if the server started no earlier,
-        or so little earlier that no other process could have run before this one.
-
-        Handles this load pattern: after a power loss, every open flow of the service is
-        looked up at every companion. Probing the backend servers takes six messages for
-        each flow, which overloads slow links and processors.
-        """
-        if self._accepted_all_flows or not started_ms:
-            return
-        started = datetime.fromtimestamp(started_ms / 1000, UTC)
-        if self._process_started - started > MIN_RESTART_TIME:
-            return
-        self._accepted_all_flows = True
-        self._log.write("ownership", "knows_all_flows", server_started=str(started))
-
     def answer_lookup(self, lookup: Lookup, balancer: Address) -> None:
         """Reply to a lookup.
 
@@ -96,7 +76,6 @@
         flows have ended.
         """
         self.outages.record(lookup.unsettled_ms, lookup.era)
-        self.record_server_start(lookup.server_started_ms)
         is_own = lookup.service == self._service
         owned = []
         unsure = []
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -1,6 +1,6 @@
 """Proxy between the balancers, the backend server and the callers."""
 
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 from pomelotrail_companion.request_queue import LearntConcurrency, WorkEstimate
 from pomelotrail_core.clock import Clock
@@ -52,7 +52,6 @@
         service: str,
         addresses: ServerProxyAddresses,
         is_first_start: bool,
-        process_started: datetime,
         max_flow_duration: timedelta,
         codec: PacketCodec,
         clock: Clock,
@@ -67,10 +66,10 @@
         """Initialize the proxy of a backend server of the service.
 
         ``is_first_start`` means that no earlier process of this companion can have
-        accepted flows; ``process_started`` is the time of day when this one started.
-        No flow lasts longer than ``max_flow_duration``. With ``learns_concurrency``,
-        a server that slows down before it is full gets fewer concurrent requests. With
-        ``learns_speed``, balancers learn how fast a server with one slot is.
+        accepted flows. No flow lasts longer than ``max_flow_duration``. With
+        ``learns_concurrency``, a server that slows down before it is full gets fewer
+        concurrent requests. With ``learns_speed``, balancers learn how fast a server
+        with one slot is.
         """
         self._addresses = addresses
         self._label = service_label(service)
@@ -88,7 +87,6 @@
         self._ownership = Ownership(
             service,
             is_first_start,
-            process_started,
             max_flow_duration,
             self._flows,
             codec,
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -104,15 +104,15 @@
 class Lookup(_Message, tag=7):
     """Query of a balancer for the flows that the receiver's backend server owns.
 
-    ``server_started_ms`` is the start time of that server in its entry; 0 if unknown.
-    ``unsettled_ms`` and ``era`` are those of an offer.
+    ``unsettled_ms`` and ``era`` are those of an offer. ``reserved`` keeps the place of
+    a number that earlier versions expect; 0 means unknown to them.
     """
 
     number: int
     service: str
     flows: tuple[bytes, ...]
     unsettled_ms: _GraceMs = 0
-    server_started_ms: int = 0
+    reserved: int = 0
     era: _Era = 0
 
 
