Probes: the relaying companion collects the denials

Cause: after a power loss every server must deny each open flow.

Change: companions send their denials to the one that relayed the packet, which reports them to the balancer in one message, after 12 ms at the latest. Those that come later are passed on at once. An owner still replies to the balancer itself. A flag in the request and in the probe says who understands this, and earlier versions ignore it, so old and new processes work beside each other.

Tests: test_probe_relay; the hostile datagrams have the new message and flags.

--- a/harness/tests/test_hostile_datagrams.py
+++ b/harness/tests/test_hostile_datagrams.py
@@ -25,6 +25,7 @@
 from pomelotrail_core.datagram_callback import catch_errors
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.offers import (
+    CollectedDenials,
     Lookup,
     LookupMiss,
     LookupReply,
@@ -80,8 +81,15 @@
         LookupReply, _NUMBERS, _FLOW_INDEXES, _FLOW_INDEXES, st.integers(0, 10_000)
     ),
     st.builds(LookupMiss, _BYTES, _BYTES, st.integers(0, 10_000)),
-    st.builds(ProbeRequest, _BYTES, _BYTES, st.lists(_BYTES, max_size=70).map(tuple)),
-    st.builds(Probe, _BYTES, _BYTES),
+    st.builds(
+        ProbeRequest,
+        _BYTES,
+        _BYTES,
+        st.lists(_BYTES, max_size=70).map(tuple),
+        st.booleans(),
+    ),
+    st.builds(Probe, _BYTES, _BYTES, st.booleans()),
+    st.builds(CollectedDenials, _BYTES, st.lists(_BYTES, max_size=3).map(tuple)),
     st.builds(Ping, _NUMBERS),
     st.builds(Pong, _NUMBERS, _NUMBERS, _NUMBERS, st.floats(allow_nan=True)),
 )
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/balancer.py
@@ -12,10 +12,11 @@
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.datagram_callback import Address, SendDatagram
 from pomelotrail_core.directory import CompletenessCheck, Directory
-from pomelotrail_core.endpoint import unpack_address
+from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES, unpack_address
 from pomelotrail_core.event_log import EventLog
 from pomelotrail_core.flows import Mark, Packet, PacketCodec, flow_text
 from pomelotrail_core.offers import (
+    CollectedDenials,
     LookupMiss,
     LookupReply,
     OfferReply,
@@ -162,6 +163,12 @@
             case LookupMiss(flow, packet, unsettled_ms):
                 self._record_peer_outage(unsettled_ms)
                 self._handle_miss(flow, packet, sender)
+            case CollectedDenials(flow, addresses, unsettled_ms) if all(
+                len(each) == PACKED_ENDPOINT_BYTES for each in addresses
+            ):
+                self._record_peer_outage(unsettled_ms)
+                for address in addresses:
+                    self._handle_miss(flow, b"", unpack_address(address))
             case Pong() as pong:
                 self._handle_pong(pong, sender)
             case _:
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/const.py
@@ -43,6 +43,9 @@
 DATAGRAM_OVERHEAD_BYTES: Final = 28
 # The reply to a probe takes half the bytes of a query.
 PROBE_REPLY_COST: Final = 0.5
+# Packets that one lookup sends to servers without a relay in one round: 24 KB, which
+# take 40 ms on a link of 5 Mbit/s.
+MAX_DIRECT_PROBES: Final = 20
 # As in RFC 6298, a reply is overdue after the mean and four deviations. The average
 # covers about the last ten replies.
 REPLY_TIME_WEIGHT: Final = 0.1
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_lookup.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/flow_lookup.py
@@ -8,7 +8,7 @@
 from pomelotrail_core.datagram_callback import Address
 from pomelotrail_core.flows import SEQUENCE_RANGE, Packet
 
-from .const import MAX_HELD_PACKETS, MAX_SEQUENCE_DISTANCE
+from .const import MAX_DIRECT_PROBES, MAX_HELD_PACKETS, MAX_SEQUENCE_DISTANCE
 
 
 class FlowLookup(msgspec.Struct, eq=False):
@@ -17,8 +17,10 @@
     ``first_packet`` started the lookup, ``held_packets`` arrived after it. Servers
     are listed by identity: those in ``denied`` don't own the flow, those in
     ``awaited`` were queried and have not replied. ``probed`` maps the address of a
-    companion to the server that a packet was sent to. ``accepted_by`` has the
-    companions whose server accepted the opening and hasn't denied the flow.
+    companion to the server that a packet was sent to; those in ``probed_directly``
+    got it without a relay, ``direct_probes`` of them in the current round.
+    ``accepted_by`` has the companions whose server accepted the opening and hasn't
+    denied the flow.
     ``full_rounds`` counts how often all companions that had not denied the flow were
     queried. ``is_complete`` is set once the directory had all entries that the store
     had when the lookup started. ``is_widened`` is set once servers of all services may
@@ -35,6 +37,8 @@
     awaited: set[str] = msgspec.field(default_factory=set)
     probed: dict[Address, str] = msgspec.field(default_factory=dict)
     accepted_by: dict[Address, CompanionView] = msgspec.field(default_factory=dict)
+    probed_directly: set[str] = msgspec.field(default_factory=set)
+    direct_probes: int = 0
     full_rounds: int = 0
     is_checking: bool = False
     is_complete: bool = False
@@ -47,6 +51,29 @@
         denied = self.denied
         return [each for each in possible_owners if each.server.identity not in denied]
 
+    def start_round(self, awaited: set[str]) -> None:
+        """Start to query all companions that have not denied the flow."""
+        self.awaited = awaited
+        self.full_rounds += 1
+        self.direct_probes = 0
+        if awaited <= self.probed_directly:
+            self.probed_directly.clear()
+
+    def takes_direct_probe(self, identity: str) -> bool:
+        """Return whether to send a packet to a server without a relay, and count it.
+
+        Relays get the first packets, and all beyond the limit of a round.
+        """
+        if (
+            self.full_rounds <= 1
+            or self.direct_probes >= MAX_DIRECT_PROBES
+            or identity in self.probed_directly
+        ):
+            return False
+        self.probed_directly.add(identity)
+        self.direct_probes += 1
+        return True
+
     def hold(self, packet: Packet) -> None:
         """Hold a packet until the owner is found."""
         if (
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -265,8 +265,7 @@
         if not lookup.is_widened and self._must_widen(lookup, remaining):
             self._widen(lookup, remaining)
         lookup.due = now + self._two_replies(LOOKUP_RETRY_INTERVAL)
-        lookup.awaited = {each.server.identity for each in remaining}
-        lookup.full_rounds += 1
+        lookup.start_round({each.server.identity for each in remaining})
         if lookup.full_rounds == 1:
             remaining += self._companions.confirmed_removals()
         for companion in remaining:
@@ -321,7 +320,8 @@
         if not self._may_probe(lookup, companion):
             return
         lookup.probed[companion.fleet_address] = identity
-        if lookup.full_rounds > 1 or companion.fleet_address in lookup.accepted_by:
+        has_accepted = companion.fleet_address in lookup.accepted_by
+        if has_accepted or lookup.takes_direct_probe(identity):
             self._probes.send_directly(lookup.first_packet, companion)
         else:
             self._probes.add(lookup.first_packet, companion)
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/server_probes.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/server_probes.py
@@ -8,7 +8,7 @@
 
 from pomelotrail_balancer.placement import CompanionView
 from pomelotrail_core.datagram_callback import Address, SendDatagram
-from pomelotrail_core.endpoint import pack_address
+from pomelotrail_core.endpoint import PACKED_ENDPOINT_BYTES, pack_address
 from pomelotrail_core.flows import Mark, Packet, PacketCodec
 from pomelotrail_core.offers import MAX_PROBES_PER_REQUEST, ProbeRequest, encode
 
@@ -33,7 +33,8 @@
     Handles this load pattern: all processes were killed while callers kept their
     flows open. No companion knows the flows of its server, so each flow needs a
     packet at every server, which would fill a slow link for seconds. The balancer
-    sends the packet once, to one of the companions, and that one sends it on::
+    sends the packet once, to one of the companions, and that one sends it on and
+    collects the denials::
 
         probes.add(packet, companion)
 
@@ -61,7 +62,7 @@
         """Send a packet to the server of a companion."""
         data = self._codec.with_label(packet, companion.label, Mark.LOOKUP)
         self._send_packet(data, companion.packets_address)
-        self._record_cost(len(data), 1)
+        self._record_cost(len(data), 0)
 
     def add(self, packet: Packet, companion: CompanionView) -> None:
         """Probe the server of a companion together with those that follow soon."""
@@ -90,11 +91,11 @@
         relay = companions[zlib.crc32(packet.caller_flow) % len(companions)]
         data = self._codec.with_label(packet, relay.label, Mark.LOOKUP)
         addresses = tuple(pack_address(each.fleet_address) for each in companions)
-        message = encode(ProbeRequest(data, self._packed_address, addresses))
+        message = encode(ProbeRequest(data, self._packed_address, addresses, True))
         self._send_message(message, relay.fleet_address)
-        self._record_cost(len(message), len(companions))
+        self._record_cost(len(message), PACKED_ENDPOINT_BYTES * len(companions))
 
-    def _record_cost(self, datagram_bytes: int, replies: int) -> None:
-        """Report the cost of a datagram and the replies to it."""
-        sent = (datagram_bytes + DATAGRAM_OVERHEAD_BYTES) / QUERY_BYTES
-        self._spend(sent + replies * PROBE_REPLY_COST)
+    def _record_cost(self, datagram_bytes: int, reply_bytes: int) -> None:
+        """Report the cost of a datagram and of its reply with so many further bytes."""
+        carried_bytes = datagram_bytes + DATAGRAM_OVERHEAD_BYTES + reply_bytes
+        self._spend(carried_bytes / QUERY_BYTES + PROBE_REPLY_COST)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/const.py
@@ -39,6 +39,12 @@
 SWEEP_INTERVAL: Final = timedelta(seconds=1)
 # Minimum time between two probes of an unknown flow to the backend server.
 PROBE_INTERVAL: Final = timedelta(milliseconds=150)
+# Companions deny a probe within a few milliseconds of the request, also across zones.
+DENIAL_COLLECTION_TIME: Final = timedelta(milliseconds=12)
+# Balancers repeat probes that had no reply after 150 ms or more.
+DENIAL_RETENTION: Final = timedelta(seconds=1)
+# Bounds the memory for collected denials: about 8 KB each with 64 companions.
+MAX_DENIAL_COLLECTIONS: Final = 500
 # Bounds the memory for flows: 300 bytes each. A backend server has up to 2,000.
 MAX_FLOWS: Final = 16_000
 BUDGET_WINDOW: Final = timedelta(seconds=1)
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/ownership.py
@@ -25,10 +25,14 @@
 
 
 class Probe(msgspec.Struct, frozen=True):
-    """A packet of an unknown flow that was sent to the backend server."""
+    """A packet of an unknown flow that was sent to the backend server.
+
+    ``balancer`` is told the owner, ``deny_to`` a denial.
+    """
 
     sent: timedelta
     balancer: Address
+    deny_to: Address
     packet: Packet
 
 
@@ -105,20 +109,22 @@
         )
         self._send_message(encode(reply), balancer)
 
-    def handle_unknown_flow(self, packet: Packet, balancer: Address) -> None:
+    def handle_unknown_flow(
+        self, packet: Packet, balancer: Address, deny_to: Address
+    ) -> None:
         """Probe the backend server for a flow that isn't tracked, or deny ownership.
 
         Another flow between the same addresses may be tracked.
         """
         if self._has_all_flows():
-            self.deny(packet, packet.mark, balancer)
+            self.deny(packet, packet.mark, deny_to)
             return
         now = self._clock.monotonic()
         flow = packet.caller_flow
         probe = self._probes.get(flow)
         if probe is not None and now - probe.sent < PROBE_INTERVAL:
             return
-        self._probes[flow] = Probe(now, balancer, packet)
+        self._probes[flow] = Probe(now, balancer, deny_to, packet)
         self._forward(packet)
         self._counters.add("probes")
 
@@ -130,7 +136,7 @@
         """Deny ownership of a flow whose probe the backend server returned."""
         probe = self._probes.pop(packet.caller_flow, None)
         if probe is not None:
-            self.deny(packet, probe.packet.mark, probe.balancer)
+            self.deny(packet, probe.packet.mark, probe.deny_to)
 
     def confirm_owner(self, flow: bytes) -> Probe | None:
         """Confirm ownership to the balancer of a probe and return the probe."""
@@ -139,11 +145,14 @@
             self._send_message(encode(Owner(flow)), probe.balancer)
         return probe
 
-    def deny(self, packet: Packet, mark: int, balancer: Address) -> None:
-        """Report to a balancer that the backend server doesn't own a flow."""
+    def deny(self, packet: Packet, mark: int, receiver: Address) -> None:
+        """Report that the backend server doesn't own a flow.
+
+        The receiver is the balancer, or the companion that collects denials for it.
+        """
         data = self._codec.without_label(packet) if mark == Mark.OWNED else b""
         miss = LookupMiss(packet.caller_flow, data, self.outages.missing_entry_grace_ms)
-        self._send_message(encode(miss), balancer)
+        self._send_message(encode(miss), receiver)
 
     def sweep(self, now: timedelta) -> None:
         """Drop expired probes."""
--- a/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/server_proxy/server_proxy.py
@@ -12,6 +12,7 @@
 from pomelotrail_core.offers import (
     MAX_PROBES_PER_REQUEST,
     Lookup,
+    LookupMiss,
     Offer,
     Owner,
     Ping,
@@ -31,6 +32,7 @@
 )
 from .flow_admission import FlowAdmission
 from .ownership import Ownership
+from .probe_relay import ProbeRelay
 from .reachability import async_is_server_gone
 from .request_gate import RequestGate
 from .server_flows import ServerFlow, ServerFlows
@@ -96,6 +98,7 @@
             send_message,
             self._forward_to_server,
         )
+        self._relay = ProbeRelay(clock, counters, send_message)
         self._admission = FlowAdmission(
             service,
             addresses.backend_server,
@@ -126,8 +129,13 @@
                 self._admission.handle_ping(number, sender)
             case ProbeRequest() as request:
                 self._relay_probe(request, sender)
-            case Probe(packet, balancer) if len(balancer) == PACKED_ENDPOINT_BYTES:
-                self._handle_packet(packet, unpack_address(balancer))
+            case Probe(packet, balancer, collects_denials) if (
+                len(balancer) == PACKED_ENDPOINT_BYTES
+            ):
+                deny_to = sender if collects_denials else None
+                self._handle_packet(packet, unpack_address(balancer), deny_to)
+            case LookupMiss() as miss:
+                self._relay.record_denial(miss, sender)
             case _:
                 self._record_malformed_message(sender)
 
@@ -173,6 +181,7 @@
             self._learn_concurrency(now)
             self._release_requests(now)
             self._ownership.sweep(now)
+            self._relay.sweep(now)
 
     def _learn_concurrency(self, now: timedelta) -> None:
         """Update the limit on concurrent requests, and log a change."""
@@ -189,34 +198,40 @@
             occupancy=self._flows.occupancy,
         )
 
-    def _handle_packet(self, data: bytes, balancer: Address) -> None:
-        """Handle a packet of a balancer, whose messages port is given."""
+    def _handle_packet(
+        self, data: bytes, balancer: Address, deny_to: Address | None = None
+    ) -> None:
+        """Handle a packet of a balancer, whose messages port is given.
+
+        A denial goes to ``deny_to`` if it is given.
+        """
+        deny_to = deny_to or balancer
         packet = self._codec.decode(data)
         if packet is None:
             self._counters.add("packets_malformed")
             return
         if packet.label != self._label:
             self._counters.add("packets_of_other_services")
-            self._ownership.deny(packet, packet.mark, balancer)
+            self._ownership.deny(packet, packet.mark, deny_to)
             return
         entry = self._flows.get(packet.caller_flow)
         if entry is not None and self._matches_flow(entry, packet):
             self._deliver(entry, packet, balancer)
         else:
-            self._ownership.handle_unknown_flow(packet, balancer)
+            self._ownership.handle_unknown_flow(packet, balancer, deny_to)
 
     def _relay_probe(self, request: ProbeRequest, sender: Address) -> None:
         """Send the packet of a balancer on a slow link to several companions."""
-        addresses = request.addresses
-        if len(addresses) > MAX_PROBES_PER_REQUEST or any(
-            len(each) != PACKED_ENDPOINT_BYTES for each in addresses
+        addresses = (request.balancer, *request.addresses)
+        packet = self._codec.decode(request.packet)
+        if (
+            packet is None
+            or len(request.addresses) > MAX_PROBES_PER_REQUEST
+            or any(len(each) != PACKED_ENDPOINT_BYTES for each in addresses)
         ):
             self._record_malformed_message(sender)
             return
-        message = encode(Probe(request.packet, request.balancer))
-        for address in addresses:
-            self._send_message(message, unpack_address(address))
-        self._counters.add("probes_relayed", len(addresses))
+        self._relay.send(request, packet.caller_flow)
 
     def _record_malformed_message(self, sender: Address) -> None:
         """Count a message that can't be read or has a value out of range.
--- a/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/__init__.py
@@ -7,6 +7,7 @@
     MISSING_ENTRY_GRACE,
 )
 from .messages import (
+    CollectedDenials,
     FleetMessage,
     Lookup,
     LookupMiss,
@@ -26,6 +27,7 @@
     "LOWEST_COUNTED_PRIORITY",
     "MAX_PROBES_PER_REQUEST",
     "MISSING_ENTRY_GRACE",
+    "CollectedDenials",
     "FleetMessage",
     "Lookup",
     "LookupMiss",
--- a/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
+++ b/packages/pomelotrail-core/pomelotrail_core/offers/messages.py
@@ -163,22 +163,37 @@
 
     The receiver sends the packet to the companions at ``addresses``, and they reply to
     ``balancer``; all are packed addresses of fleet ports. On the link of the balancer,
-    one message takes the place of one for each server.
+    one message takes the place of one for each server. If ``collects_denials`` is set,
+    the balancer understands ``CollectedDenials``, so that this holds for replies too.
     """
 
     packet: bytes
     balancer: bytes
     addresses: tuple[bytes, ...]
+    collects_denials: bool = False
 
 
 class Probe(_Message, tag=10):
     """A packet that a companion sends on behalf of a balancer, to probe a server.
 
-    Replies go to ``balancer``, the packed address of its fleet port.
+    Replies go to ``balancer``, the packed address of its fleet port. A denial goes to
+    the sender if ``collects_denials`` is set.
     """
 
     packet: bytes
     balancer: bytes
+    collects_denials: bool = False
+
+
+class CollectedDenials(_Message, tag=11):
+    """Denials of one flow by the companions at ``addresses``, in place of one of each.
+
+    ``unsettled_ms`` is the largest value of all of them.
+    """
+
+    flow: bytes
+    addresses: tuple[bytes, ...]
+    unsettled_ms: int = 0
 
 
 class Ping(_Message, tag=5):
@@ -206,6 +221,7 @@
     | LookupMiss
     | ProbeRequest
     | Probe
+    | CollectedDenials
     | Ping
     | Pong
 )
