Lookups: a server that registers again at an address isn't probed twice

Cause: denials were kept by the identity of the server's entry. While start times were trusted, this cost only a query.

Change: the denial of a probed companion counts for its address and service, also for an entry that comes later: a flow that was open before the packet was sent can't be at a server that starts after its denial. One packet a round goes to an address. Servers of different services at an address are probed one after the other, since a denial doesn't tell which service it is of; before, the denial of one counted for the other if both had been sent a packet.

Test: test_servers_that_register_again_after_their_denial; before, each server got two packets.

--- a/harness/tests/test_flow_lookups.py
+++ b/harness/tests/test_flow_lookups.py
@@ -241,6 +241,36 @@
             run_in_virtual_time(async_run()), LOOKUP_RETRY_INTERVAL.total_seconds()
         )
 
+    def test_servers_that_register_again_after_their_denial(self) -> None:
+        """A server at the same address can't have the flow, and gets no more packets.
+
+        After a power loss, servers register under new identities during lookups.
+        """
+
+        async def async_run() -> tuple[float, list[int]]:
+            """Return the seconds until a reset, and the packets that servers got."""
+            fleet, (caller,) = await self.async_simulate_power_loss(1, servers=12)
+            entries = [
+                msgspec.structs.replace(
+                    fleet.server_entry(host, later(FIRST_REVISION, number)),
+                    identity=f"new-{host}",
+                )
+                for number, host in enumerate(fleet.servers, 1)
+            ]
+            items = tuple(ServerItem(each) for each in entries)
+            started = asyncio.get_running_loop().time()
+            request = asyncio.create_task(caller.async_send_request(b"two", 2))
+            await asyncio.sleep(0.02)
+            fleet.source.revision = later(FIRST_REVISION, len(entries))
+            fleet.directory().apply(Listing(items, fleet.source.revision))
+            self.assertIsNone(await request)
+            counts = [len(each.unknown_flows) for each in fleet.servers.values()]
+            return asyncio.get_running_loop().time() - started, counts
+
+        seconds, counts = run_in_virtual_time(async_run())
+        self.assertLess(seconds, LOOKUP_RETRY_INTERVAL.total_seconds())
+        self.assertEqual(counts, [1] * 12)
+
     def test_companions_that_cannot_reach_each_other(self) -> None:
         """The balancer probes their servers itself when relayed probes fail."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -160,8 +160,7 @@
     def record_returned_probe(self, flow: bytes, sender: Address) -> None:
         """Record that the backend server at an address returned a probe packet."""
         lookup = self._pending.get(flow)
-        if lookup is not None and (identity := lookup.probed.pop(sender, None)):
-            lookup.accepted_by.pop(sender, None)
+        for identity in lookup.pop_denied(sender) if lookup is not None else ():
             self._record_denial(lookup, identity)
 
     def _start(self, packet: Packet, services: frozenset[str], now: timedelta) -> None:
@@ -265,7 +264,7 @@
         if not lookup.is_widened and self._must_widen(lookup, remaining):
             self._widen(lookup, remaining)
         lookup.due = now + self._two_replies(LOOKUP_RETRY_INTERVAL)
-        lookup.start_round({each.server.identity for each in remaining})
+        lookup.start_round(remaining)
         if lookup.full_rounds == 1:
             remaining += self._companions.confirmed_removals()
         for companion in remaining:
@@ -319,9 +318,10 @@
         """Send a packet to the server of a companion that is unsure."""
         if not self._may_probe(lookup, companion):
             return
-        lookup.probed[companion.fleet_address] = identity
+        if not lookup.takes_probe(companion, identity):
+            return
         has_accepted = companion.fleet_address in lookup.accepted_by
-        if has_accepted or lookup.takes_direct_probe(identity):
+        if has_accepted or lookup.takes_direct_probe(companion):
             self._probes.send_directly(lookup.first_packet, companion)
         else:
             self._probes.add(lookup.first_packet, companion)
