Event log: the end of a process waits for a slow reader

Cause: the log never waits for its reader. What a full pipe doesn't take at the last flush is lost with the process, which ends some milliseconds later. Six flows that open at once write more than the soak's pipe of 4 KB holds before its reader has a turn.

Change: the end of a process waits up to a second for the rest of its lines, without blocking, and not at all when the log can't be written.

Tests: EndOfProcessTest, for a reader that is slow, that stands still and that is gone. There was nothing to wait with before; with a single flush, as it was, the first one leaves out the end of the line.

--- a/packages/pomelotrail-core/pomelotrail_core/event_log/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/event_log/const.py
@@ -16,3 +16,7 @@
 MAX_WRITE_BYTES: Final = 65_536
 # A write that failed (reader gone, device full) is tried again after this time.
 RETRY_INTERVAL: Final = timedelta(seconds=1)
+# The end of a process waits so long for a slow reader of its last lines, a sixth of the
+# shortest time that the platform gives it to stop.
+DRAIN_TIMEOUT: Final = timedelta(seconds=1)
+DRAIN_INTERVAL: Final = timedelta(milliseconds=10)
--- a/packages/pomelotrail-core/pomelotrail_core/event_log/event_log.py
+++ b/packages/pomelotrail-core/pomelotrail_core/event_log/event_log.py
@@ -12,6 +12,8 @@
 from pomelotrail_core.counters import Counters
 
 from .const import (
+    DRAIN_INTERVAL,
+    DRAIN_TIMEOUT,
     FLUSH_DELAY,
     LINES_PER_INTERVAL,
     MAX_BUFFERED_BYTES,
@@ -120,6 +122,16 @@
         if not self._lines:
             self._is_pending.clear()
 
+    async def async_drain(self) -> None:
+        """Write all buffered lines; give up if the reader takes too long or is gone."""
+        deadline = self._clock.monotonic() + DRAIN_TIMEOUT
+        self.flush()
+        while self._lines and self._failure is None:
+            if self._clock.monotonic() >= deadline:
+                return
+            await self._clock.async_sleep(DRAIN_INTERVAL)
+            self.flush()
+
     async def async_flush_regularly(self) -> None:
         """Flush ``FLUSH_DELAY`` after a line is added, until cancelled."""
         while True:
--- a/packages/pomelotrail-core/pomelotrail_core/event_log/tests/test_log_failures.py
+++ b/packages/pomelotrail-core/pomelotrail_core/event_log/tests/test_log_failures.py
@@ -10,7 +10,11 @@
 from harness.flow_fleet import MemoryLogWriter
 from pomelotrail_core.counters import Counters
 from pomelotrail_core.event_log import EventLog, LogWriter
-from pomelotrail_core.event_log.const import MAX_BUFFERED_BYTES
+from pomelotrail_core.event_log.const import (
+    DRAIN_INTERVAL,
+    DRAIN_TIMEOUT,
+    MAX_BUFFERED_BYTES,
+)
 
 _ERRORS = (errno.EPIPE, errno.ENOSPC, errno.EIO, errno.EBADF)
 
@@ -42,8 +46,8 @@
         self.error, self.room = None, 1_000_000
 
 
-class LogFailureTest(unittest.IsolatedAsyncioTestCase):
-    """The reader is gone, the device is full, or an error of the device."""
+class UnreliableWriterTestCase(unittest.IsolatedAsyncioTestCase):
+    """Base of tests with a writer that can fail."""
 
     def setUp(self) -> None:
         """Log to a writer that can fail."""
@@ -67,6 +71,10 @@
             if line.startswith(b"{") and line.endswith(b"}")
         ]
 
+
+class LogFailureTest(UnreliableWriterTestCase):
+    """The reader is gone, the device is full, or an error of the device."""
+
     def test_errors_do_not_reach_the_process(self) -> None:
         """Guards against a process that ends because its log can't be written."""
         for number in _ERRORS:
@@ -157,3 +165,35 @@
         while len(self.events()) < 2:
             await self.clock.async_advance(timedelta(seconds=1))
         self.assertFalse(flushing.done())
+
+
+class EndOfProcessTest(UnreliableWriterTestCase):
+    """The last lines of a process whose reader is slow, stands still or is gone."""
+
+    def start_drain(self, room: int = 30) -> asyncio.Task[None]:
+        """Write a line that the reader takes in part, and wait for the rest."""
+        self.writer.room = room
+        self.log.write("process", "stopped")
+        return asyncio.create_task(self.log.async_drain())
+
+    async def test_slow_reader(self) -> None:
+        """Guards against an end without its last line, or in the middle of it."""
+        drain = self.start_drain()
+        await self.clock.async_advance(DRAIN_TIMEOUT / 2)
+        self.assertFalse(drain.done())
+        self.writer.recover()
+        await self.clock.async_advance(DRAIN_INTERVAL)
+        self.assertTrue(drain.done())
+        self.assertEqual([line["event"] for line in self.events()], ["stopped"])
+
+    async def test_reader_that_stands_still(self) -> None:
+        """The process ends nevertheless."""
+        drain = self.start_drain()
+        await self.clock.async_advance(DRAIN_TIMEOUT + DRAIN_INTERVAL)
+        self.assertTrue(drain.done())
+
+    async def test_reader_that_is_gone(self) -> None:
+        """It isn't waited for."""
+        self.writer.fail(errno.EPIPE)
+        await self.start_drain(room=0)
+        self.assertEqual(self.clock.monotonic(), timedelta())
