Store client: a connection that the store has closed isn't used again

Cause: the call that compares a silent watch with the store's revision went out on a connection that the store had closed while it was idle, and failed at once ("connection closed before the end of the response"), which counted as no change.

Change: the client looks whether the connection has ended before it sends a call, and opens a new one. The end has arrived by then, except within one round trip. The check of completeness before resets uses the same client.

--- a/packages/pomelotrail-core/pomelotrail_core/http_client.py
+++ b/packages/pomelotrail-core/pomelotrail_core/http_client.py
@@ -72,8 +72,12 @@
 
     @property
     def is_finished(self) -> bool:
-        """Return whether the connection can't be used for another request."""
-        return not self._keeps_alive
+        """Return whether the connection can't be used for another request.
+
+        Servers close connections that are idle for some time.
+        """
+        is_closed = self._reader.at_eof() or self._writer.is_closing()
+        return is_closed or not self._keeps_alive
 
     @classmethod
     async def async_open(cls, endpoint: Endpoint) -> "HttpConnection":
--- a/stand_ins/platform_store/store.py
+++ b/stand_ins/platform_store/store.py
@@ -90,6 +90,11 @@
         """Close the connections that are open now."""
         await self._runner.server.shutdown(0)
 
+    def close_connections(self) -> None:
+        """Close the connections, as servers do with those that are idle for long."""
+        for each in self._runner.server.connections:
+            each.force_close()
+
     def write(self, key: str, value: bytes) -> None:
         """Write an item."""
         self._record_change(key, value)
