Directory: former services are kept as before, and the lag of balancers apart

Cause: allowing 20 s for balancers that lag behind in all uses of former services kept servers of services that are named no more, and addresses of other writers, as possible owners for longer than flows last. Two tests of named services failed since.

Change: the lag counts only where an unsure reply is taken for a denial. In the 20 s between, such a companion is asked again every 150 ms, as before, and the flow stays.

Tests: test_named_services passes again, unchanged. The test of a flow of a former service whose route changed exactly one flow duration ago is back as it was, and bounds the messages; the one with the lag stays beside it.

--- a/harness/tests/test_flow_ends.py
+++ b/harness/tests/test_flow_ends.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import unittest
+from datetime import timedelta
 from typing import Final
 
 import msgspec
 
-from harness.flow_fleet import FIRST_REVISION, FlowFleet, later
+from harness.flow_fleet import FIRST_REVISION, MAX_FLOW_DURATION, FlowFleet, later
 from harness.virtual_time import run_in_virtual_time
 from pomelotrail_core.directory import Listing, RemovedItem, ServerItem, ServiceShare
 from pomelotrail_core.directory.const import MAX_CONFIGURATION_LAG
@@ -280,6 +281,19 @@
 
         run_in_virtual_time(async_run())
 
+    async def async_lose_flow_of_a_former_service(
+        self, age: timedelta
+    ) -> tuple[FlowFleet, StandInCaller]:
+        """Return a fleet that loses all flows, long after their route was changed."""
+        fleet = FlowFleet(servers=4)
+        caller = fleet.caller()
+        await caller.async_open_and_request(b"one")
+        fleet.start_balancer("192.0.2.200", is_listed=False)
+        fleet.directory().replace(fleet.listing(2, OTHER_SERVICE))
+        await asyncio.sleep(age.total_seconds())
+        fleet.restart_companions(with_servers=True)
+        return fleet, caller
+
     def test_server_of_another_service_is_not_probed(self) -> None:
         """Its companion is unsure, but it can't own the flow, which is reset.
 
@@ -287,20 +301,32 @@
         """
 
         async def async_run() -> None:
-            """Lose all flow tables long after the route led to another service."""
-            fleet = FlowFleet(servers=4)
-            caller = fleet.caller()
-            await caller.async_open_and_request(b"one")
-            fleet.start_balancer("192.0.2.200", is_listed=False)
-            fleet.directory().replace(fleet.listing(2, OTHER_SERVICE))
-            known_after = fleet.max_flow_duration + MAX_CONFIGURATION_LAG
-            await asyncio.sleep(known_after.total_seconds())
-            fleet.restart_companions(with_servers=True)
+            """Lose all flow tables when no balancer can use the old version."""
+            fleet, caller = await self.async_lose_flow_of_a_former_service(
+                MAX_FLOW_DURATION + MAX_CONFIGURATION_LAG
+            )
             self.assertIsNone(await caller.async_send_request(b"two", 1))
             self.assertFalse(any(s.unknown_flows for s in fleet.servers.values()))
 
         run_in_virtual_time(async_run())
 
+    def test_flow_that_a_balancer_that_lags_behind_may_have_opened(self) -> None:
+        """Its companion stays unsure; the server isn't probed and no flow is reset."""
+
+        async def async_run() -> None:
+            """Lose all flow tables long after the route led to another service."""
+            fleet, caller = await self.async_lose_flow_of_a_former_service(
+                MAX_FLOW_DURATION
+            )
+            sent_before = fleet.network.sent
+            with self.assertRaises(TimeoutError):
+                await caller.async_send_request(b"two", 5)
+            self.assertFalse(any(s.unknown_flows for s in fleet.servers.values()))
+            # A query and a reply for each companion every 150 ms in a second.
+            self.assertLess(fleet.network.sent - sent_before, 2 * 4 * 8)
+
+        run_in_virtual_time(async_run())
+
     def test_lost_flow_whose_former_service_is_not_known(self) -> None:
         """Servers of all services deny it, and it is reset before a retransmission."""
 
--- a/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
+++ b/packages/pomelotrail-balancer/pomelotrail_balancer/flow_balancing/lookups.py
@@ -297,11 +297,12 @@
 
         Those of other services may get a packet once all others have denied the flow.
         """
+        address, service = lookup.first_packet.receiver, companion.server.service
         if self._policy.may_probe(lookup, companion):
             self._probe_server(lookup, companion, identity)
-        elif self._directory.knows_former_services:
+        elif not self._directory.may_have_flows(address, service):
             self._record_denial(lookup, identity)
-        else:
+        elif not self._directory.knows_former_services:
             self._record_reply(lookup, identity)
 
     def _record_denial(self, lookup: FlowLookup, identity: str) -> None:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/const.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/const.py
@@ -36,6 +36,8 @@
 # flow requests one.
 CHECK_COOLDOWN: Final = timedelta(milliseconds=150)
 CHECK_TIMEOUT: Final = timedelta(milliseconds=400)
+# With the timeout above, a silent watch is checked three times before it times out.
+CHECK_RETRY_INTERVAL: Final = timedelta(milliseconds=400)
 # A missing entry is attributed to an outage for this long after the outage ended.
 OUTAGE_ATTRIBUTION_WINDOW: Final = timedelta(seconds=4)
 # Operators may write the evacuation of a zone again later than servers write their
--- a/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/directory.py
@@ -148,6 +148,15 @@
         current = route.services if route is not None else frozenset()
         return current | self._former_services.services(address)
 
+    def may_have_flows(self, address: bytes, service: str) -> bool:
+        """Return whether flows of a packed address may be open at a service.
+
+        Unlike ``possible_services``, this allows for balancers that lag behind.
+        """
+        route = self.route(address)
+        is_current = route is not None and service in route.services
+        return is_current or self._former_services.may_have_flows(address, service)
+
     def record_flow(self, address: bytes, service: str) -> None:
         """Record that a service has a flow of a packed address."""
         if service not in self.possible_services(address):
--- a/packages/pomelotrail-core/pomelotrail_core/directory/former_services.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/former_services.py
@@ -34,11 +34,17 @@
 
     def services(self, address: bytes) -> set[str]:
         """Return the services that the route of an address led to before."""
-        until = self._until.get(address)
-        if until is None:
-            return set()
-        now = self._clock.monotonic()
-        return {service for service, end in until.items() if now < end}
+        return self._services_until(address, self._clock.monotonic())
+
+    def may_have_flows(self, address: bytes, service: str) -> bool:
+        """Return whether flows may be open at a service that a route doesn't lead to.
+
+        Balancers that lag behind have opened flows by a version that was replaced.
+        """
+        then = self._clock.monotonic() - MAX_CONFIGURATION_LAG
+        if self._complete_from is None or then < self._complete_from:
+            return True
+        return service in self._services_until(address, then)
 
     def record_gap(self) -> None:
         """Record that versions before the one in force may not have been read."""
@@ -61,15 +67,18 @@
             left = former.services - route.services
             self._until.setdefault(address, {}).update(dict.fromkeys(left, until))
 
-    def _last_use(self) -> timedelta:
-        """Return the time when flows of a version that is replaced now have ended.
+    def _services_until(self, address: bytes, time: timedelta) -> set[str]:
+        """Return the services that may have flows of an address at a time."""
+        until = self._until.get(address, {})
+        return {service for service, end in until.items() if time < end}
 
-        Balancers that lag behind still open flows by it.
-        """
-        lifetime = MAX_CONFIGURATION_LAG + self._max_flow_duration
-        return self._clock.monotonic() + lifetime
+    def _last_use(self) -> timedelta:
+        """Return the time when flows that are open now have ended."""
+        return self._clock.monotonic() + self._max_flow_duration
 
     def _drop_expired(self) -> None:
         """Drop addresses without a service that may still have flows."""
-        for address in [each for each in self._until if not self.services(each)]:
+        then = self._clock.monotonic() - MAX_CONFIGURATION_LAG
+        known = list(self._until)
+        for address in [x for x in known if not self._services_until(x, then)]:
             del self._until[address]
