Directory: a comparison that fails is repeated while the watch is silent

Cause: a failed comparison counted as one that shows no change.

The bound is the 4 s after trouble at the source within which limits hold again.

--- a/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/follower.py
@@ -11,6 +11,7 @@
 from .const import (
     ANSWER_GRACE,
     CHANGE_BATCH_WINDOW,
+    CHECK_RETRY_INTERVAL,
     CHECK_TIMEOUT,
     INITIAL_RETRY_DELAY,
     LIST_TIMEOUT,
@@ -114,7 +115,7 @@
         watch = asyncio.create_task(self._source.async_changes(revision, wait, timeout))
         try:
             await asyncio.wait({watch}, timeout=WATCH_CHECK_AFTER.total_seconds())
-            if not watch.done() and await self._async_has_changed(revision):
+            if await self._async_has_changed(revision, watch):
                 await asyncio.wait({watch}, timeout=ANSWER_GRACE.total_seconds())
                 if not watch.done() and not self._source.is_receiving:
                     detail = f"no answer to the watch after revision {revision.number}"
@@ -123,13 +124,21 @@
         finally:
             watch.cancel()
 
-    async def _async_has_changed(self, revision: Revision) -> bool:
-        """Return whether the source is known to be at another revision."""
-        match await self._check_source.async_revision(CHECK_TIMEOUT):
-            case Ok(current):
-                return current != revision
-            case Err(error):
-                self._directory.record_check_failure(str(error))
+    async def _async_has_changed(
+        self, revision: Revision, watch: asyncio.Task[Result[Listing, SourceError]]
+    ) -> bool:
+        """Return whether the source is known to be at another revision.
+
+        A check that fails is repeated while the watch is silent: the source may lose
+        both answers.
+        """
+        while not watch.done():
+            match await self._check_source.async_revision(CHECK_TIMEOUT):
+                case Ok(current):
+                    return current != revision
+                case Err(error):
+                    self._directory.record_check_failure(str(error))
+            await asyncio.wait({watch}, timeout=CHECK_RETRY_INTERVAL.total_seconds())
         return False
 
     def _is_restored(self, listing: Listing) -> bool:
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/followed_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/followed_source.py
@@ -18,6 +18,8 @@
 
 # Operators' limit on the time from the confirmation of a change until it is in force.
 APPLY_SECONDS: Final = 3.0
+# The limit holds again for a process this long after trouble at the source.
+SETTLED_SECONDS: Final = 4.0
 OUTAGE_SECONDS: Final = 2.0
 # What the restored source lacks is written again within this time, or gone.
 REWRITE_SECONDS: Final = 2.0
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/memory_source.py
@@ -49,6 +49,7 @@
         self._history: list[tuple[int, DirectoryItem]] = []
         self._is_reachable = True
         self.loses_next_answer = False
+        self.loses_next_check = False
         self.transfer_s = 0.0
         self._is_receiving = False
         self._changed = asyncio.Event()
@@ -116,6 +117,10 @@
 
     async def async_revision(self, timeout: timedelta) -> Result[Revision, SourceError]:
         """Return the revision of the last change."""
+        if self.loses_next_check:
+            self.loses_next_check = False
+            await asyncio.sleep(timeout.total_seconds())
+            return _unreachable()
         return Ok(self.revision) if self._is_reachable else _unreachable()
 
     async def async_changes(
--- a/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_lost_answers.py
+++ b/packages/pomelotrail-core/pomelotrail_core/directory/tests/test_lost_answers.py
@@ -7,7 +7,12 @@
 from pomelotrail_core.directory import RemovedItem, ServerState, ZoneItem
 
 from .builders import configuration, entry
-from .followed_source import APPLY_SECONDS, FollowedSource, run_followed
+from .followed_source import (
+    APPLY_SECONDS,
+    SETTLED_SECONDS,
+    FollowedSource,
+    run_followed,
+)
 from .memory_source import MemorySource
 
 # Within a wait of four seconds, and between two.
@@ -21,8 +26,10 @@
         self,
         change: Callable[[MemorySource], None],
         is_in_force: Callable[[FollowedSource], bool],
+        loses_check: bool = False,
     ) -> None:
-        """Lose the answer to a watch at any time of its wait."""
+        """Lose the answer to a watch at any time of its wait, and that of a check."""
+        limit_s = SETTLED_SECONDS if loses_check else APPLY_SECONDS
         for offset in _OFFSETS:
             with self.subTest(offset=offset):
 
@@ -33,8 +40,9 @@
                     followed.source.write(entry())
                     await asyncio.sleep(2 + offset)
                     followed.source.loses_next_answer = True
+                    followed.source.loses_next_check = loses_check
                     change(followed.source)
-                    await asyncio.sleep(APPLY_SECONDS)
+                    await asyncio.sleep(limit_s)
                     self.assertTrue(is_in_force(followed))
 
                 run_followed(async_test)
@@ -46,6 +54,14 @@
             lambda followed: followed.directory.version == 9,
         )
 
+    def test_check_that_is_lost_too(self) -> None:
+        """Guards against a watch that is taken for good because a check failed."""
+        self.check(
+            lambda source: source.write(configuration(9)),
+            lambda followed: followed.directory.version == 9,
+            loses_check=True,
+        )
+
     def test_answer_that_is_transferred_slowly(self) -> None:
         """It isn't taken for lost once it has begun to arrive."""
 
