--- a/harness/changing_fleet.py
+++ b/harness/changing_fleet.py
@@ -34,8 +34,7 @@
 from pomelotrail_core.endpoint import pack_address
 from stand_ins.flows import StandInCaller
 
-# Stopping one process and starting the next takes longer than the time within which
-# a companion is treated as started together with its server.
+# Between the stop of one process and the start of the next.
 COMPANION_RESTART_SECONDS: Final = 0.4
 # Servers write entries that a restored store lacks within this time after its return.
 REWRITE_SECONDS: Final = 1.9
--- a/soak/const.py
+++ b/soak/const.py
@@ -19,6 +19,9 @@
 COLD_DURATION_S: Final = 3.0
 COLD_FLOWS_PER_S: Final = 6.0
 
+# The time of day of a VM jumps by up to this much around the start of its server.
+CLOCK_ERROR_MS: Final = 3_000
+
 SLOTS_PER_SERVER: Final = 4
 # Priorities of the routes to one service each, and of the moving route: in a fleet
 # with bursts these differ, and servers have one slot.
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -17,6 +17,7 @@
 
 from .const import (
     BURST_REQUEST_DURATION_S,
+    CLOCK_ERROR_MS,
     COLD_DURATION_S,
     COLD_FLOWS_PER_S,
     END_RESTART_DELAY_S,
@@ -60,6 +61,7 @@
         have one slot, and the moving route has a lower priority than the others.
         """
         self.random = random.Random(seed)
+        self._clock_errors = random.Random(seed)
         self.store = PlatformStore()
         self.publisher = Publisher(self.store)
         self.version = 0
@@ -186,6 +188,7 @@
         vm.server_id = f"server-{next(self._server_numbers)}"
         vm.server.crash()
         vm.started_ms = int(time.time() * 1000)
+        vm.started_ms += self._clock_errors.randint(-CLOCK_ERROR_MS, CLOCK_ERROR_MS)
         vm.is_draining = False
         vm.cold_since = self.now if is_cold else None
         self._publish_server(vm, int(COLD_DURATION_S * 1000) if is_cold else 0)
