Soak: callers ignore resets that are too far from what they acknowledged

Trace: each of the five resets whose logs were read has the reason "nobody_takes_it": a balancer refused a late copy of an opening of which another balancer's companion had accepted an earlier or later copy 11 to 256 ms before.

Why it is allowed: "Its `seq` is within 76,800 of the consumer's last `ack`, or may be any value while the flow is not open." The refusal's number is that of the copy, 0 to 2, so the caller of an open flow ignores it; the soak's caller ended the flow at any reset.

Change: the soak's caller accepts what the platform's does. A balancer or companion that resets a flow it knows sends the acknowledged number, so those resets still count.

--- a/soak/const.py
+++ b/soak/const.py
@@ -19,6 +19,9 @@
 COLD_DURATION_S: Final = 3.0
 COLD_FLOWS_PER_S: Final = 6.0
 
+# Callers ignore a reset of an open flow whose sequence number is further than this
+# from the last one that they acknowledged.
+MAX_RESET_DISTANCE: Final = 76_800
 # The time of day of a VM jumps by up to this much around the start of its server.
 CLOCK_ERROR_MS: Final = 3_000
 
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -4,12 +4,23 @@
 import enum
 from typing import Any
 
-from pomelotrail_core.flows import Packet
+from pomelotrail_core.flows import SEQUENCE_RANGE, Packet
 from stand_ins.flows import CODEC, StandInCaller, StandInServer, make_packet
 
+from .const import MAX_RESET_DISTANCE
+
 RETRY_TIMEOUTS_S = (0.2, 0.4, 0.8, 1.6, 1.6)
 
 
+def accepts_reset(sequence: int, acknowledged: int) -> bool:
+    """Return whether a caller of the platform accepts a reset of its open flow.
+
+    A balancer that refuses a late copy of the opening doesn't know the flow's numbers.
+    """
+    distance = (sequence - acknowledged) % SEQUENCE_RANGE
+    return min(distance, SEQUENCE_RANGE - distance) <= MAX_RESET_DISTANCE
+
+
 class RequestResult(enum.Enum):
     """How a request ended."""
 
@@ -122,7 +133,7 @@
             packet = await self._async_receive_packet(remaining)
             if packet is None:
                 return None
-            if packet.resets:
+            if packet.resets and accepts_reset(packet.sequence, self._expected):
                 return RequestResult.RESET
             content = CODEC.content(packet)
             if packet.accepts or not content:
--- a/soak/tests/test_processes.py
+++ b/soak/tests/test_processes.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from unittest import mock
 
+from soak.endpoints import accepts_reset
 from soak.fleet import SoakFleet
 from soak.log_pipe import LogPipe
 from soak.processes import ProcessEnd, SoakProcess
@@ -45,6 +46,17 @@
         self.assertNotEqual(ProcessEnd(-15, signal.SIGTERM, True, "").problem, "")
 
 
+class ResetTest(unittest.TestCase):
+    """Which resets end an open flow at its caller."""
+
+    def test_distance_of_the_sequence_number(self) -> None:
+        """Guards against a refused copy of an opening that counts as a reset."""
+        self.assertTrue(accepts_reset(500_001, 500_001))
+        self.assertTrue(accepts_reset(2**32 - 76_799, 1))
+        self.assertFalse(accepts_reset(1, 500_001))
+        self.assertFalse(accepts_reset(576_802, 500_001))
+
+
 class SignalTest(unittest.TestCase):
     """Signals to processes."""
 
