GOAWAY test: the caller's acknowledgements don't depend on the machine's speed

Cause: a QUIC caller sends its last acknowledgement 25 ms late. The test exchanged packets for eight rounds in real time, so the acknowledgement was sent only if the machine happened to take as long.

Change: the caller of the test has a clock of its own, which advances by 30 ms each round. The assertions are the same ones, and the verdict doesn't depend on the time that passes.

--- a/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_goaway.py
+++ b/packages/pomelotrail-companion/pomelotrail_companion/edge/tests/test_goaway.py
@@ -28,6 +28,8 @@
 
 _SERVICE = ("192.0.2.80", 443)
 _BODY = b"x" * 5_000
+# QUIC endpoints send a delayed acknowledgement after 25 ms.
+_ACKNOWLEDGEMENT_DELAY_S = 0.03
 _HEADERS = [
     (b":method", b"GET"),
     (b":scheme", b"https"),
@@ -72,7 +74,8 @@
         self.quic_events: list[QuicEvent] = []
         self.events: list[H3Event] = []
         self.http = GoawayConnection(self.caller, self._count_goaway)
-        self.caller.connect(_SERVICE, now=asyncio.get_running_loop().time())
+        self.caller_time_s = 0.0
+        self.caller.connect(_SERVICE, now=self.caller_time_s)
         await self.async_exchange()
 
     def _count_goaway(self) -> None:
@@ -80,17 +83,20 @@
         self.goaways += 1
 
     async def async_exchange(self, rounds: int = 8) -> None:
-        """Deliver packets in both directions."""
-        loop = asyncio.get_running_loop()
+        """Deliver packets in both directions.
+
+        By its own clock, the caller acknowledges in each round what it got before.
+        """
         for _ in range(rounds):
             await asyncio.sleep(0)
-            for data, _ in self.caller.datagrams_to_send(loop.time()):
+            self.caller_time_s += _ACKNOWLEDGEMENT_DELAY_S
+            for data, _ in self.caller.datagrams_to_send(self.caller_time_s):
                 packet = forwarded(data)
                 if self.edge.handle_packet(packet) is PacketVerdict.OPENING:
                     self.edge.open_flow(packet)
             await asyncio.sleep(0)
             for data in self.to_caller:
-                self.caller.receive_datagram(data, _SERVICE, loop.time())
+                self.caller.receive_datagram(data, _SERVICE, self.caller_time_s)
             self.to_caller.clear()
             self._read_events()
 
@@ -139,8 +145,7 @@
     async def test_unacknowledged_answer_keeps_the_flow_open(self) -> None:
         """A flow is only idle after the caller has acknowledged the whole answer."""
         stream_id = self.send_request()
-        loop = asyncio.get_running_loop()
-        for data, _ in self.caller.datagrams_to_send(loop.time()):
+        for data, _ in self.caller.datagrams_to_send(self.caller_time_s):
             self.edge.handle_packet(forwarded(data))
         for _ in range(20):
             await asyncio.sleep(0)
